--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PY := .venv/bin/python
+SEEDS ?= 200
+
+.PHONY: demo test lint format bench measure slopes soak
+
+.venv/.installed: requirements.txt packages/seam_policy/pyproject.toml packages/seam_model/pyproject.toml packages/seam_node/pyproject.toml packages/seam_ctl/pyproject.toml
+	python3 -m venv .venv
+	$(PY) -m pip install -q -r requirements.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e packages/seam_policy -e packages/seam_model -e packages/seam_node -e packages/seam_ctl
+	touch $@
+
+demo: .venv/.installed
+	$(PY) -m bench.demo
+
+test: .venv/.installed
+	$(PY) -m tools.known_red
+
+lint: .venv/.installed
+	$(PY) -m ruff format --check packages tests bench tools
+	$(PY) -m ruff check packages tests bench tools
+	$(PY) -m tools.lint_imports packages tests bench tools
+
+format: .venv/.installed
+	$(PY) -m ruff check --fix packages tests bench tools
+	$(PY) -m ruff format packages tests bench tools
+
+bench: .venv/.installed
+	$(PY) -m bench.speed
+
+measure: .venv/.installed
+	$(PY) -m bench.measure
+
+slopes: .venv/.installed
+	$(PY) -m bench.slopes
+
+soak: .venv/.installed
+	SOAK_SEEDS=$(SEEDS) $(PY) -m pytest tests/proofs
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load and measuring tools."""
--- /dev/null
+++ b/packages/seam_ctl/seam_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/seam_model/seam_model/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, typed errors, settings, configuration schema and codecs."""
--- /dev/null
+++ b/packages/seam_model/seam_model/ids.py
@@ -0,0 +1,42 @@
+"""Identifiers: UUIDv7 request ids and idempotency keys (RFC 9562)."""
+
+import random
+import re
+import uuid
+
+UUID_BYTES = 16
+_TIMESTAMP_SHIFT_BITS = 80
+_TEXT_FORM = re.compile(
+    r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
+
+
+def make_uuid7(wall_s: float, rng: random.Random) -> str:
+    """Returns a UUIDv7 in text form for a wall clock time in seconds."""
+    millis = int(wall_s * 1000) & ((1 << 48) - 1)
+    value = millis << _TIMESTAMP_SHIFT_BITS
+    value |= 0x7 << 76
+    value |= rng.getrandbits(12) << 64
+    value |= 0b10 << 62
+    value |= rng.getrandbits(62)
+    return str(uuid.UUID(int=value))
+
+
+def is_uuid7(text: str) -> bool:
+    """Tells whether `text` is a UUIDv7 in lower-case text form."""
+    return _TEXT_FORM.fullmatch(text) is not None
+
+
+def uuid7_wall_s(text: str) -> float:
+    """Returns the wall clock time, in seconds, that a UUIDv7 carries."""
+    return (uuid.UUID(text).int >> _TIMESTAMP_SHIFT_BITS) / 1000
+
+
+def pack(text: str) -> bytes:
+    """Returns the 16 bytes of a UUID in text form."""
+    return uuid.UUID(text).bytes
+
+
+def unpack(data: bytes) -> str:
+    """Returns the text form of the 16 bytes of a UUID."""
+    return str(uuid.UUID(bytes=data))
--- /dev/null
+++ b/packages/seam_model/seam_model/peers.py
@@ -0,0 +1,215 @@
+"""Messages between entry instances.
+
+Each class is registered with a small integer tag, and travels as a msgpack
+array of the tag and the field values in order. Request ids travel as 16 bytes.
+"""
+
+import attrs
+
+# Membership
+
+
+@attrs.frozen
+class Heartbeat:
+    """Periodic proof of life, with what the receiver may have missed."""
+
+    name: str
+    incarnation: int
+    sequence: int
+    config_version: int
+    leaving: bool
+    suspects: tuple[str, ...] = ()
+    """Names whose heartbeats the sender misses."""
+
+
+@attrs.frozen
+class HeartbeatAck:
+    """Answers a heartbeat."""
+
+    name: str
+    incarnation: int
+    sequence: int
+    config_version: int
+
+
+# Running requests
+
+
+@attrs.frozen
+class RegisterRun:
+    """Asks a mirror to record the run of a request."""
+
+    request_id: bytes
+    generation: int
+    """1 for a first run; a takeover uses one more than the run it replaces."""
+    instance: str
+    incarnation: int
+
+
+@attrs.frozen
+class RegisterAnswer:
+    """A mirror's vote on a registration."""
+
+    granted: bool
+    generation: int
+    """Generation of the run that the mirror holds after the vote."""
+    instance: str
+    incarnation: int
+    engine: str
+    ended: str
+    """Outcome of a run that has ended, else empty."""
+    warming: bool = False
+    """The mirror has just started and cannot vote yet."""
+
+
+@attrs.frozen
+class RunPlaced:
+    """Tells a mirror which engine holds the stream of a run."""
+
+    request_id: bytes
+    generation: int
+    engine: str
+
+
+@attrs.frozen
+class RunEnded:
+    """Tells a mirror that a run has ended."""
+
+    request_id: bytes
+    generation: int
+    outcome: str
+
+
+@attrs.frozen
+class HandOver:
+    """Asks the instance that relays a stream to let it go."""
+
+    request_id: bytes
+    generation: int
+
+
+@attrs.frozen
+class HandOverAnswer:
+    """Says where the stream is held now."""
+
+    held: bool
+    engine: str
+    generation: int
+
+
+@attrs.frozen
+class CancelRun:
+    """Asks the instance that relays a stream to cancel it."""
+
+    request_id: bytes
+
+
+@attrs.frozen
+class CancelAnswer:
+    """Says whether the run was known here."""
+
+    known: bool
+
+
+# Decode slots
+
+
+@attrs.frozen
+class SlotRequest:
+    """Asks an engine's owner for a decode slot and KV blocks."""
+
+    request_id: bytes
+    engine: str
+    rank: int
+    workspace: str
+    wait_s: float
+    """Longest useful wait for the slot, in seconds."""
+    kv_blocks: int
+    tokens: int
+    """Expected output tokens."""
+    lead_s: float
+    """Time that prefill and transfer take before the slot is needed."""
+
+
+@attrs.frozen
+class SlotAnswer:
+    """Grants or declines a decode slot."""
+
+    granted: bool
+    reason: str
+    room: int
+    """Free slots that the owner counts after this answer."""
+    wait_s: float
+    """Estimated wait for an urgent request that asks now."""
+
+
+@attrs.frozen
+class SlotRelease:
+    """Returns a slot, with what the owner learns from the run."""
+
+    request_id: bytes
+    engine: str
+    tokens: int
+    per_token_us: int
+    failed: bool
+
+
+# Orders
+
+
+@attrs.frozen
+class ClaimRequest:
+    """Asks a claim shard's owner to claim an idempotency key."""
+
+    key: bytes
+    digest: bytes
+    """First bytes of a hash of the order, to tell a reused key."""
+    instance: str
+    nonce: bytes
+
+
+@attrs.frozen
+class ClaimAnswer:
+    """Outcome of a claim."""
+
+    state: str
+    """`claimed`, `held`, `done`, `mismatch` or `unavailable`."""
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@attrs.frozen
+class ClaimOutcome:
+    """Records the outcome of a claimed order."""
+
+    key: bytes
+    nonce: bytes
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen
+class ClaimStored:
+    """Says whether an outcome was recorded."""
+
+    stored: bool
+
+
+# Configuration
+
+
+@attrs.frozen
+class ConfigFetch:
+    """Asks a peer for its configuration object."""
+
+    above_version: int
+
+
+@attrs.frozen
+class ConfigObject:
+    """A configuration object as bytes; empty when there is none newer."""
+
+    version: int
+    data: bytes
--- /dev/null
+++ b/packages/seam_node/seam_node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: request filters, state controllers and ports."""
--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that connect the ports to real processes."""
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""The controllers that own an instance's state, one module each."""
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a request passes, one module each."""
--- /dev/null
+++ b/packages/seam_node/seam_node/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes for everything outside the instance."""
--- /dev/null
+++ b/packages/seam_node/seam_node/ports/platform.py
@@ -0,0 +1,83 @@
+"""The platform's versioned object service and its lagging list."""
+
+import abc
+
+import attrs
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+
+ABSENT = 0
+"""Version that a conditional write names for an object that must not exist."""
+
+
+@attrs.frozen
+class Stored:
+    """An object and its version."""
+
+    key: str
+    version: int
+    data: bytes
+
+
+class Platform(abc.ABC):
+    """Versioned objects with conditional updates and watches.
+
+    A call that fails with `PlatformUnavailable` took no effect. A write that
+    fails with `PlatformAmbiguous` may have taken effect. Each object has a
+    version of its own, which rises with every write.
+    """
+
+    @abc.abstractmethod
+    async def start(self) -> None:
+        """Opens connections."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes connections."""
+
+    @abc.abstractmethod
+    async def get(
+        self, key: str
+    ) -> expression.Result[Stored, errors.PlatformError]:
+        """Returns an object, or `ObjectMissing`."""
+
+    @abc.abstractmethod
+    async def put(
+        self, key: str, data: bytes, expected: int
+    ) -> expression.Result[int, errors.PlatformError]:
+        """Writes if the version is `expected`; returns the new version.
+
+        Errors: `VersionConflict` with the current version.
+        """
+
+    @abc.abstractmethod
+    async def delete(
+        self, key: str, expected: int
+    ) -> expression.Result[None, errors.PlatformError]:
+        """Deletes if the version is `expected`."""
+
+    @abc.abstractmethod
+    async def list_keys(
+        self, prefix: str
+    ) -> expression.Result[tuple[str, ...], errors.PlatformError]:
+        """Returns the keys that start with `prefix`, sorted."""
+
+    @abc.abstractmethod
+    async def watch(
+        self, key: str, above: int, timeout_s: float
+    ) -> expression.Result[Stored | None, errors.PlatformError]:
+        """Waits for a version above `above`; None when time runs out."""
+
+    @abc.abstractmethod
+    async def fleet(
+        self,
+    ) -> expression.Result[endpoints.FleetList, errors.PlatformError]:
+        """Returns the lagging list of instances and endpoints."""
+
+    @abc.abstractmethod
+    async def announce(
+        self, record: endpoints.InstanceRecord
+    ) -> expression.Result[None, errors.PlatformError]:
+        """Shows this instance in the list until it stops announcing."""
--- /dev/null
+++ b/packages/seam_node/seam_node/task.py
@@ -0,0 +1,69 @@
+"""Base class of tasks that own state and talk by messages."""
+
+import abc
+import asyncio
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class _Ask:
+    message: Any
+    fut: asyncio.Future
+
+
+class Task(abc.ABC):
+    """Owns its state; handles one message at a time from a mailbox."""
+
+    def __init__(self, name: str):
+        """Names the task for logs."""
+        self.name = name
+        self._mailbox: asyncio.Queue[Any] = asyncio.Queue()
+        self._runners: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Starts the mailbox loop."""
+        self.spawn(self._run())
+
+    async def close(self) -> None:
+        """Stops the mailbox loop and every spawned runner."""
+        runners, self._runners = self._runners, []
+        for runner in runners:
+            runner.cancel()
+        await asyncio.gather(*runners, return_exceptions=True)
+
+    def spawn(self, coro: Any) -> asyncio.Task:
+        """Runs a coroutine until it ends or the task is closed."""
+        runner = asyncio.ensure_future(coro)
+        self._runners.append(runner)
+        runner.add_done_callback(self._forget)
+        return runner
+
+    def tell(self, message: Any) -> None:
+        """Puts a message into the mailbox."""
+        self._mailbox.put_nowait(message)
+
+    async def ask(self, message: Any) -> Any:
+        """Puts a message into the mailbox and waits for its answer."""
+        fut = asyncio.get_running_loop().create_future()
+        self._mailbox.put_nowait(_Ask(message, fut))
+        return await fut
+
+    @abc.abstractmethod
+    async def receive(self, message: Any) -> Any:
+        """Handles one message and returns its answer."""
+
+    def _forget(self, runner: asyncio.Task) -> None:
+        if runner in self._runners:
+            self._runners.remove(runner)
+
+    async def _run(self) -> None:
+        while True:
+            message = await self._mailbox.get()
+            if not isinstance(message, _Ask):
+                await self.receive(message)
+                continue
+            answer = await self.receive(message.message)
+            if not message.fut.done():
+                message.fut.set_result(answer)
--- /dev/null
+++ b/packages/seam_node/seam_node/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers for callers and operators."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools that the Makefile runs."""
