--- a/packages/seam_model/seam_model/ids.py
+++ b/packages/seam_model/seam_model/ids.py
@@ -40,3 +40,23 @@
 def unpack(data: bytes) -> str:
     """Returns the text form of the 16 bytes of a UUID."""
     return str(uuid.UUID(bytes=data))
+
+
+# Generations of a run
+
+ATTEMPTS_PER_GENERATION = 256
+
+
+def engine_incarnation(generation: int, attempt: int) -> int:
+    """Returns the number that an engine orders attempts of a run by.
+
+    Args:
+        generation: 1 for a first run, one more for each takeover.
+        attempt: Attempt within the generation, from 0 to 255.
+    """
+    return generation * ATTEMPTS_PER_GENERATION + attempt
+
+
+def last_incarnation(generation: int) -> int:
+    """Returns the highest engine incarnation of a generation."""
+    return engine_incarnation(generation, ATTEMPTS_PER_GENERATION - 1)
--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/curl.py
@@ -0,0 +1,89 @@
+"""The curl client that the HTTP adapters share."""
+
+import attrs
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+MAX_CONNECTIONS = 4096
+CONNECT_TIMEOUT_S = 2.0
+
+_NO_ANSWER_STATUS = 599
+"""Tornado's own code for a missing answer; no endpoint sends it."""
+
+# libcurl result codes of attempts that sent no byte to the endpoint.
+_NOT_SENT = frozenset({5, 6, 7, 45})
+
+
+@attrs.frozen
+class Answer:
+    """Outcome of one HTTP exchange.
+
+    `status` is 0 when no answer came; `sent` then says whether the endpoint
+    may have received the request.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = ""
+    sent: bool = True
+
+
+def make_client() -> httpclient.AsyncHTTPClient:
+    """Returns a curl client of its own for one adapter."""
+    return curl_httpclient.CurlAsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CONNECTIONS
+    )
+
+
+def _use_fresh_connection(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def was_sent(exc: BaseException) -> bool:
+    """Tells whether a failed exchange may have reached the endpoint."""
+    errno = getattr(exc, "errno", None)
+    return errno not in _NOT_SENT
+
+
+async def exchange(
+    client: httpclient.AsyncHTTPClient,
+    method: str,
+    url: str,
+    timeout_s: float,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    once: bool = False,
+) -> Answer:
+    """Sends one request and waits for the whole answer.
+
+    With `once`, a connection of its own is used: libcurl repeats a request by
+    itself when a kept connection breaks before the first byte of an answer,
+    which would run a non-idempotent order twice.
+    """
+    if body is None and method in ("POST", "PUT"):
+        body = b""
+    req = httpclient.HTTPRequest(
+        url,
+        method=method,
+        body=body,
+        headers=headers,
+        connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+        request_timeout=timeout_s,
+        follow_redirects=False,
+        allow_nonstandard_methods=True,
+        prepare_curl_callback=_use_fresh_connection if once else None,
+    )
+    try:
+        resp = await client.fetch(req, raise_error=False)
+    except (OSError, httpclient.HTTPError) as exc:
+        return Answer(0, b"", sent=was_sent(exc))
+    if resp.code == _NO_ANSWER_STATUS:
+        connected = resp.time_info.get("pretransfer", 0.0) > 0.0
+        return Answer(0, b"", sent=connected and was_sent(resp.error))
+    return Answer(
+        resp.code,
+        resp.body or b"",
+        resp.headers.get("Content-Type", ""),
+    )
--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/engine_http.py
@@ -0,0 +1,184 @@
+"""Engines that speak HTTP with JSON and server-sent events."""
+
+import json
+import urllib.parse
+
+import expression
+from tornado import httpclient
+
+from seam_model import codec
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.adapters import curl
+from seam_node.adapters import engine_stream
+from seam_node.ports import engine
+
+CONTROL_TIMEOUT_S = 2.0
+TOKEN_SILENCE_S = 2.0
+_JSON_HEADERS = {"Content-Type": "application/json", "Expect": ""}
+
+
+def refusal_of(
+    endpoint: str, status: int, body: bytes
+) -> errors.EndpointError:
+    """Returns the typed error of an engine's refusal."""
+    try:
+        plain = json.loads(body)
+    except ValueError:
+        plain = {}
+    if not isinstance(plain, dict):
+        plain = {}
+    code = plain.get("code")
+    for cls in (
+        errors.EndpointFull,
+        errors.KvExpired,
+        errors.TransferFailed,
+        errors.StreamUnknown,
+    ):
+        if code == cls.code:
+            return cls(endpoint)
+    if code == errors.OrderFenced.code:
+        return errors.OrderFenced(endpoint, int(plain.get("fence", 0)))
+    return errors.OrderRejected(endpoint, status)
+
+
+class HttpEngine(engine.Engine):
+    """Orders to one engine over HTTP."""
+
+    def __init__(
+        self,
+        record: endpoints.EndpointRecord,
+        client: httpclient.AsyncHTTPClient,
+        silence_s: float = TOKEN_SILENCE_S,
+    ):
+        """Takes the engine's record and the shared client."""
+        self._name = record.name
+        self._url = record.url
+        self._client = client
+        self._silence_s = silence_s
+
+    async def prefill(
+        self, order: endpoints.PrefillOrder, timeout_s: float
+    ) -> expression.Result[endpoints.PrefillDone, errors.EndpointError]:
+        """Computes a prompt's KV cache."""
+        answer = await self._call(
+            "POST", "/v1/prefill", timeout_s, codec.to_json(order)
+        )
+        return self._parsed(answer, endpoints.PrefillDone)
+
+    async def decode(
+        self, order: endpoints.DecodeOrder, timeout_s: float
+    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+        """Imports KV and starts a stream."""
+        return await self._open("/v1/decode", codec.to_json(order), timeout_s)
+
+    async def resume(
+        self, order: endpoints.ResumeOrder, timeout_s: float
+    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+        """Attaches to a stream after an event id."""
+        return await self._open("/v1/resume", codec.to_json(order), timeout_s)
+
+    async def cancel(
+        self, request_id: str, incarnation: int
+    ) -> expression.Result[None, errors.EndpointError]:
+        """Frees what a run holds."""
+        path = f"/v1/streams/{request_id}?incarnation={incarnation}"
+        answer = await self._call("DELETE", path, CONTROL_TIMEOUT_S)
+        return self._checked(answer).map(lambda _: None)
+
+    async def load(
+        self,
+    ) -> expression.Result[endpoints.LoadReport, errors.EndpointError]:
+        """Returns the engine's load report."""
+        answer = await self._call("GET", "/v1/load", CONTROL_TIMEOUT_S)
+        return self._parsed(answer, endpoints.LoadReport)
+
+    async def cache_events(
+        self, after: int
+    ) -> expression.Result[
+        tuple[endpoints.CacheEvent, ...], errors.EndpointError
+    ]:
+        """Returns cache events after a sequence number."""
+        path = f"/v1/cache-events?after={after}"
+        answer = await self._call("GET", path, CONTROL_TIMEOUT_S)
+        return self._parsed(answer, tuple[endpoints.CacheEvent, ...])
+
+    async def configure(
+        self, order: endpoints.ModelOrder, timeout_s: float
+    ) -> expression.Result[None, errors.EndpointError]:
+        """Sets role, models and adapters."""
+        answer = await self._call(
+            "POST", "/v1/configure", timeout_s, codec.to_json(order)
+        )
+        return self._checked(answer).map(lambda _: None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes | None = None,
+    ) -> curl.Answer:
+        url = urllib.parse.urljoin(self._url, path)
+        return await curl.exchange(
+            self._client, method, url, timeout_s, body, _JSON_HEADERS
+        )
+
+    def _checked(
+        self, answer: curl.Answer
+    ) -> expression.Result[bytes, errors.EndpointError]:
+        if answer.status == 0:
+            return expression.Error(self._unanswered(answer.sent))
+        if answer.status >= 300:
+            return expression.Error(
+                refusal_of(self._name, answer.status, answer.body)
+            )
+        return expression.Ok(answer.body)
+
+    def _parsed(self, answer: curl.Answer, cls: type) -> expression.Result:
+        checked = self._checked(answer)
+        if checked.is_error():
+            return checked
+        parsed = codec.from_json(checked.ok, cls)
+        if parsed.is_error():
+            return expression.Error(
+                errors.OrderRejected(self._name, answer.status)
+            )
+        return parsed
+
+    async def _open(
+        self, path: str, body: bytes, timeout_s: float
+    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+        stream = engine_stream.CurlDecodeStream(self._name, self._silence_s)
+        url = urllib.parse.urljoin(self._url, path)
+        head = await stream.open(self._client, url, body, timeout_s)
+        if head.status == 200:
+            return expression.Ok(stream)
+        await stream.close()
+        if head.status == 0:
+            return expression.Error(self._unanswered(head.sent))
+        return expression.Error(
+            refusal_of(self._name, head.status, head.body)
+        )
+
+    def _unanswered(self, sent: bool) -> errors.EndpointError:
+        if sent:
+            return errors.EndpointLost(self._name)
+        return errors.EndpointUnreachable(self._name)
+
+
+class HttpEngineFactory(engine.EngineFactory):
+    """Makes HTTP engines that share one client."""
+
+    def __init__(self, silence_s: float = TOKEN_SILENCE_S):
+        """Takes the longest allowed gap between tokens, in seconds."""
+        self._client = curl.make_client()
+        self._silence_s = silence_s
+
+    def engine(self, record: endpoints.EndpointRecord) -> engine.Engine:
+        """Returns the engine of a record."""
+        return HttpEngine(record, self._client, self._silence_s)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        self._client.close()
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/engines.py
@@ -0,0 +1,110 @@
+"""What this instance knows of the endpoints.
+
+The records come from the platform's lagging list. Room and wait hints come
+with the answers of the engines' owners; load and cache events are read from a
+bounded number of engines only.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from seam_model import endpoints
+from seam_node.ports import clock
+from seam_node.ports import engine
+
+SUSPECT_S = 5.0
+"""How long an engine that did not answer is avoided."""
+
+
+@attrs.define
+class Hint:
+    """What an owner last said of its engine."""
+
+    room: int = 0
+    wait_s: float = 0.0
+    at: float = float("-inf")
+
+
+class EngineDirectory:
+    """Finds endpoints and remembers what was learnt of them.
+
+    It belongs to the event loop's thread; no method waits.
+    """
+
+    def __init__(self, factory: engine.EngineFactory, clk: clock.Clock):
+        """Takes the engine factory and the clock."""
+        self._factory = factory
+        self._clock = clk
+        self._records: dict[str, endpoints.EndpointRecord] = {}
+        self._engines: dict[str, engine.Engine] = {}
+        self._hints: dict[str, Hint] = {}
+        self._suspects: dict[str, float] = {}
+        self._watchers: list[Callable[[], None]] = []
+
+    def update(self, records: Iterable[endpoints.EndpointRecord]) -> None:
+        """Replaces the records by those of a newer list."""
+        fresh = {record.name: record for record in records}
+        for name, record in self._records.items():
+            if fresh.get(name) != record:
+                self._engines.pop(name, None)
+        self._records = fresh
+        self._hints = {k: v for k, v in self._hints.items() if k in fresh}
+
+    def record(self, name: str) -> endpoints.EndpointRecord | None:
+        """Returns an endpoint's record."""
+        return self._records.get(name)
+
+    def engine(self, name: str) -> engine.Engine:
+        """Returns the connection to a listed engine."""
+        if name not in self._engines:
+            self._engines[name] = self._factory.engine(self._records[name])
+        return self._engines[name]
+
+    def engines(
+        self, role: endpoints.EngineRole, model: str = "", adapter: str = ""
+    ) -> tuple[endpoints.EndpointRecord, ...]:
+        """Returns the engines of a role that can take new work."""
+        return tuple(
+            record
+            for record in self._records.values()
+            if record.kind == "engine"
+            and record.role is role
+            and not record.leaving
+            and (not model or model in record.models)
+            and (not adapter or adapter in record.adapters)
+            and not self.suspected(record.name)
+        )
+
+    def services(self, service: str) -> tuple[endpoints.EndpointRecord, ...]:
+        """Returns the endpoints of a service that can take new work."""
+        return tuple(
+            record
+            for record in self._records.values()
+            if record.kind == "service"
+            and record.service == service
+            and not record.leaving
+        )
+
+    def serves_model(self, model: str) -> bool:
+        """Tells whether any listed engine holds the model."""
+        return any(model in r.models for r in self._records.values())
+
+    # What was learnt
+
+    def hint(self, name: str) -> Hint:
+        """Returns what the engine's owner last said."""
+        return self._hints.get(name, Hint())
+
+    def learn(self, name: str, room: int, wait_s: float) -> None:
+        """Keeps what the engine's owner said."""
+        self._hints[name] = Hint(room, wait_s, self._clock.monotonic())
+
+    def suspect(self, name: str) -> None:
+        """Avoids an endpoint that did not answer, for a while."""
+        self._suspects[name] = self._clock.monotonic() + SUSPECT_S
+
+    def suspected(self, name: str) -> bool:
+        """Tells whether an endpoint is avoided now."""
+        return self._suspects.get(name, 0.0) > self._clock.monotonic()
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -0,0 +1,202 @@
+"""Keeps the slot ledgers of the engines that this instance owns."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from seam_model import config
+from seam_model import endpoints
+from seam_model import peers
+from seam_node import task
+from seam_node.controllers import engines
+from seam_node.controllers import ownership
+from seam_node.ports import clock
+from seam_node.ports import peer
+from seam_policy import ledger
+
+TICK_S = 0.01
+NOT_OWNER = "not_owner"
+MICROS_PER_S = 1e6
+
+
+@attrs.frozen
+class Observed:
+    """A load report of an owned engine."""
+
+    report: endpoints.LoadReport
+
+
+@attrs.frozen
+class _Tick:
+    pass
+
+
+class OwnerController(task.Task):
+    """Answers slot requests from the ledgers of owned engines.
+
+    A slot request is answered when its ledger decides, so the answers of
+    waiting requests are futures that the mailbox loop completes.
+    """
+
+    def __init__(
+        self,
+        self_name: str,
+        directory: engines.EngineDirectory,
+        owners: ownership.Ownership,
+        network: peer.PeerNetwork,
+        defaults: Callable[[], config.Defaults | None],
+        clk: clock.Clock,
+    ):
+        """Registers the slot messages' handlers."""
+        super().__init__("owner")
+        self._self_name = self_name
+        self._directory = directory
+        self._owners = owners
+        self._defaults = defaults
+        self._clock = clk
+        self._ledgers: dict[str, ledger.SlotLedger] = {}
+        self._waiting: dict[tuple[str, bytes], asyncio.Future] = {}
+        network.handle(peers.SlotRequest, self._on_request)
+        network.handle(peers.SlotRelease, self._on_release)
+
+    async def start(self) -> None:
+        """Starts the mailbox loop and the ledgers' timer."""
+        await super().start()
+        self.spawn(self._tick_loop())
+
+    def ledgers(self) -> dict[str, ledger.SlotLedger]:
+        """Returns the ledgers by engine, for status and metrics."""
+        return dict(self._ledgers)
+
+    async def receive(self, message: Any) -> Any:
+        """Handles slot messages, load reports and ticks."""
+        match message:
+            case peers.SlotRequest():
+                return self._ask(message)
+            case peers.SlotRelease():
+                self._release(message)
+            case Observed(report):
+                self._observe(report)
+            case _Tick():
+                self._tick()
+        return None
+
+    async def _on_request(
+        self, sender: str, message: peers.SlotRequest
+    ) -> peers.SlotAnswer:
+        del sender
+        return await (await self.ask(message))
+
+    async def _on_release(
+        self, sender: str, message: peers.SlotRelease
+    ) -> None:
+        del sender
+        self.tell(message)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._waiting:
+                self.tell(_Tick())
+
+    # Messages
+
+    def _ask(self, message: peers.SlotRequest) -> asyncio.Future:
+        fut = asyncio.get_running_loop().create_future()
+        book = self._ledger(message.engine)
+        if book is None:
+            fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
+            return fut
+        self._waiting[(message.engine, message.request_id)] = fut
+        ask = ledger.SlotAsk(
+            message.request_id,
+            message.rank,
+            message.workspace,
+            message.wait_s,
+            message.kv_blocks,
+            message.tokens,
+            message.lead_s,
+        )
+        now = self._clock.monotonic()
+        self._deliver(message.engine, book.ask(ask, now), now)
+        return fut
+
+    def _release(self, message: peers.SlotRelease) -> None:
+        book = self._ledgers.get(message.engine)
+        if book is None:
+            return
+        now = self._clock.monotonic()
+        if not message.tokens:
+            actions = book.cancel(message.request_id, now)
+        else:
+            actions = book.release(
+                message.request_id,
+                message.tokens,
+                message.per_token_us / MICROS_PER_S,
+                message.failed,
+                now,
+            )
+        self._deliver(message.engine, actions, now)
+
+    def _observe(self, report: endpoints.LoadReport) -> None:
+        book = self._ledger(report.engine)
+        if book is None:
+            return
+        now = self._clock.monotonic()
+        actions = book.observe(report.running, report.kv_blocks_free, now)
+        self._deliver(report.engine, actions or [], now)
+
+    def _tick(self) -> None:
+        now = self._clock.monotonic()
+        for engine in {key[0] for key in self._waiting}:
+            book = self._ledgers.get(engine)
+            if book is not None:
+                self._deliver(engine, book.tick(now), now)
+
+    # Ledgers
+
+    def _ledger(self, engine: str) -> ledger.SlotLedger | None:
+        if self._owners.owner_of(engine) != self._self_name:
+            self._drop(engine)
+            return None
+        if engine not in self._ledgers:
+            record = self._directory.record(engine)
+            self._ledgers[engine] = ledger.SlotLedger(self._limits(record))
+        return self._ledgers[engine]
+
+    def _drop(self, engine: str) -> None:
+        """Forgets the ledger of an engine that another instance owns now."""
+        if self._ledgers.pop(engine, None) is None:
+            return
+        for key in [key for key in self._waiting if key[0] == engine]:
+            fut = self._waiting.pop(key)
+            if not fut.done():
+                fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
+
+    def _limits(self, record: endpoints.EndpointRecord) -> ledger.LedgerLimits:
+        defaults = self._defaults()
+        if defaults is None:
+            return ledger.LedgerLimits(record.slots, record.kv_blocks)
+        return ledger.LedgerLimits(
+            record.slots,
+            record.kv_blocks,
+            other_floor=defaults.admission.other_floor,
+            urgent_reserve=defaults.admission.urgent_reserve,
+            queue_limit=defaults.admission.queue_limit,
+        )
+
+    def _deliver(
+        self, engine: str, actions: list[ledger.Action], now: float
+    ) -> None:
+        book = self._ledgers[engine]
+        for action in actions:
+            fut = self._waiting.pop((engine, action.request_id), None)
+            if fut is None or fut.done():
+                continue
+            granted = isinstance(action, ledger.Granted)
+            reason = "" if granted else action.reason.value
+            wait_s = book.wait_estimate(ledger.URGENT, now)
+            room = book.room(now)
+            fut.set_result(peers.SlotAnswer(granted, reason, room, wait_s))
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/ownership.py
@@ -0,0 +1,42 @@
+"""Which instance owns each engine, by rendezvous over the live view."""
+
+from collections.abc import Callable
+
+from seam_node.controllers import engines
+from seam_policy import rendezvous
+
+
+class Ownership:
+    """Maps engines and shards to live instances.
+
+    Ownership is soft: two instances that see different views may both own an
+    engine for a while, and then the engine itself refuses what is too much.
+    """
+
+    def __init__(
+        self,
+        live: Callable[[], tuple[rendezvous.Site, ...]],
+        directory: engines.EngineDirectory,
+    ):
+        """Takes the live instances and the endpoints."""
+        self._live = live
+        self._directory = directory
+        self._table = rendezvous.SiteTable(())
+
+    def owner_of(self, engine: str) -> str | None:
+        """Returns the instance that keeps an engine's ledger."""
+        record = self._directory.record(engine)
+        if record is None:
+            return None
+        return self._owner(engine, record.data_centre)
+
+    def shard_owner(self, shard: str) -> str | None:
+        """Returns the instance that batches a claim shard's writes."""
+        return self._owner(shard, "")
+
+    def _owner(self, key: str, data_centre: str) -> str | None:
+        live = self._live()
+        if live != self._table.sites:
+            self._table = rendezvous.SiteTable(live)
+        site = self._table.owner(key.encode(), data_centre)
+        return site.name if site else None
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -0,0 +1,209 @@
+"""Feeds the placement policy with what this instance knows."""
+
+from collections.abc import Callable
+
+import attrs
+
+from seam_model import config
+from seam_model import endpoints
+from seam_model import ids
+from seam_model import requests
+from seam_model import settings
+from seam_node.controllers import engines
+from seam_node.ports import clock
+from seam_policy import estimate
+from seam_policy import placement
+from seam_policy import prefix
+
+PREFILL_TOKENS_PER_S = 8000.0
+"""Rate assumed until the first prefill was measured."""
+
+
+@attrs.frozen
+class DecodeChoice:
+    """A decode engine to try, and the time that prefill needs before it."""
+
+    name: str
+    lead_s: float
+
+
+@attrs.define
+class _Load:
+    running: int = 0
+    queued_tokens: int = 0
+    at: float = float("-inf")
+
+
+class Planner:
+    """Orders decode engines and chooses prefill engines for requests.
+
+    It belongs to the event loop's thread; no method waits.
+    """
+
+    def __init__(
+        self,
+        directory: engines.EngineDirectory,
+        policy: placement.Placement,
+        distances: settings.DistanceSettings,
+        data_centre: str,
+        model_settings: Callable[[str], config.ModelDefaults | None],
+        clk: clock.Clock,
+        seed: int,
+    ):
+        """Takes the engines, the policy and where this instance is."""
+        self._directory = directory
+        self._policy = policy
+        self._distances = distances
+        self._data_centre = data_centre
+        self._model_settings = model_settings
+        self._clock = clk
+        self._seed = seed
+        self._loads: dict[str, _Load] = {}
+        self._sent_tokens: dict[str, int] = {}
+        self._transfers: dict[str, int] = {}
+        self._rates: dict[str, estimate.Ewma] = {}
+        self.prefixes = prefix.PrefixIndex()
+
+    @property
+    def reserves(self) -> bool:
+        """Whether a slot is reserved at the owner before prefill."""
+        return self._policy.reserves
+
+    # Choices
+
+    def decode_order(
+        self, req: requests.GenerateRequest, excluded: set[str]
+    ) -> list[DecodeChoice]:
+        """Returns the decode engines to try, the best first."""
+        need = placement.DecodeNeed(
+            ids.pack(req.request_id),
+            req.model,
+            req.prompt_tokens,
+            self._data_centre,
+            req.adapter,
+            self._kv_bytes(req.model),
+        )
+        candidates = [
+            self._decode_candidate(record)
+            for record in self._directory.engines(
+                endpoints.EngineRole.DECODE, req.model, req.adapter
+            )
+            if record.name not in excluded
+        ]
+        ordered = self._policy.order(need, candidates, self._seed)
+        return [
+            DecodeChoice(each.name, self._lead_s(req, each.name))
+            for each in ordered
+        ]
+
+    def prefill_order(
+        self, req: requests.GenerateRequest, decode: str, excluded: set[str]
+    ) -> tuple[placement.PrefillChoice, ...]:
+        """Returns the prefill engines to try, the best first."""
+        need = placement.PrefillNeed(
+            ids.pack(req.request_id),
+            req.model,
+            req.prompt_tokens,
+            self._kv_bytes(req.model),
+            req.adapter,
+        )
+        candidates = [
+            self._prefill_candidate(record, decode, req)
+            for record in self._directory.engines(
+                endpoints.EngineRole.PREFILL, req.model, req.adapter
+            )
+            if record.name not in excluded
+        ]
+        return placement.choose_prefill(need, candidates, self._seed)
+
+    # What was learnt
+
+    def prefill_started(self, name: str, tokens: int) -> None:
+        """Counts tokens as waiting at a prefill engine."""
+        self._sent_tokens[name] = self._sent_tokens.get(name, 0) + tokens
+
+    def prefill_ended(self, name: str, tokens: int) -> None:
+        """Counts tokens as no longer waiting at a prefill engine."""
+        left = self._sent_tokens.get(name, 0) - tokens
+        self._sent_tokens[name] = max(0, left)
+
+    def learn_rate(self, name: str, tokens: int, took_s: float) -> None:
+        """Learns a prefill engine's rate from an unshared prefill."""
+        if took_s <= 0 or self._sent_tokens.get(name, 0) > tokens:
+            return
+        rate = self._rates.setdefault(
+            name, estimate.Ewma(PREFILL_TOKENS_PER_S)
+        )
+        rate.add(tokens / took_s)
+
+    def transfer_started(self, name: str) -> None:
+        """Counts a transfer out of a prefill engine."""
+        self._transfers[name] = self._transfers.get(name, 0) + 1
+
+    def transfer_ended(self, name: str) -> None:
+        """Counts a transfer out of a prefill engine as ended."""
+        self._transfers[name] = max(0, self._transfers.get(name, 0) - 1)
+
+    def observe(self, report: endpoints.LoadReport) -> None:
+        """Takes an engine's load report."""
+        at = self._clock.monotonic() - report.age_s
+        self._loads[report.engine] = _Load(
+            report.running, report.queued_prefill_tokens, at
+        )
+
+    # Views
+
+    def _kv_bytes(self, model: str) -> int:
+        known = self._model_settings(model)
+        return known.kv_bytes_per_token if known else 0
+
+    def _lead_s(self, req: requests.GenerateRequest, decode: str) -> float:
+        choices = self.prefill_order(req, decode, set())
+        return choices[0].lead_s if choices else 0.0
+
+    def _decode_candidate(
+        self, record: endpoints.EndpointRecord
+    ) -> placement.DecodeCandidate:
+        now = self._clock.monotonic()
+        hint = self._directory.hint(record.name)
+        load = self._loads.get(record.name, _Load())
+        link_s = self._distances.one_way_s(
+            self._data_centre, record.data_centre
+        )
+        return placement.DecodeCandidate(
+            name=record.name,
+            data_centre=record.data_centre,
+            models=record.models,
+            adapters=record.adapters,
+            slots=record.slots,
+            room=hint.room,
+            room_age_s=now - hint.at,
+            wait_s=hint.wait_s,
+            running=load.running,
+            report_age_s=now - load.at,
+            transfer_bytes_s=self._distances.link_bytes_per_s,
+            link_s=link_s,
+        )
+
+    def _prefill_candidate(
+        self,
+        record: endpoints.EndpointRecord,
+        decode: str,
+        req: requests.GenerateRequest,
+    ) -> placement.PrefillCandidate:
+        load = self._loads.get(record.name, _Load())
+        sent = self._sent_tokens.get(record.name, 0)
+        target = self._directory.record(decode)
+        there = target.data_centre if target else self._data_centre
+        rate = self._rates.get(record.name)
+        return placement.PrefillCandidate(
+            name=record.name,
+            models=record.models,
+            adapters=record.adapters,
+            prefix_tokens=self.prefixes.match(record.name, req.prompt),
+            backlog_tokens=max(sent, load.queued_tokens),
+            tokens_s=rate.value if rate else PREFILL_TOKENS_PER_S,
+            link_bytes_s=self._distances.link_bytes_per_s,
+            link_transfers=self._transfers.get(record.name, 0),
+            link_s=self._distances.one_way_s(record.data_centre, there),
+        )
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/runs.py
@@ -0,0 +1,146 @@
+"""The requests that run on this instance now, and how recent ones went."""
+
+import asyncio
+import collections
+import enum
+from typing import Any
+
+import attrs
+
+from seam_node.ports import engine
+
+TRACE_LIMIT = 2000
+
+
+class Stop(enum.Enum):
+    """Why a run is stopped before its stream ends."""
+
+    CALLER_GONE = "caller_gone"
+    CANCELLED = "cancelled"
+    HANDED_OVER = "handed_over"
+    DEADLINE = "deadline"
+
+
+@attrs.frozen
+class Step:
+    """One decision about a request, for `explain`."""
+
+    at_s: float
+    """Seconds since the request arrived."""
+    filter: str
+    what: str
+
+
+@attrs.define
+class Trace:
+    """How one request went."""
+
+    request_id: str
+    workspace: str = ""
+    rank: str = ""
+    model: str = ""
+    outcome: str = "running"
+    steps: list[Step] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class Run:
+    """One request in progress on this instance."""
+
+    request_id: str
+    generation: int
+    trace: Trace
+    engine: str = ""
+    incarnation: int = 0
+    """Number of the current attempt at the engine."""
+    stop: Stop | None = None
+    stream: engine.DecodeStream | None = None
+    stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    let_go: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set once this instance will send no more of the stream."""
+
+
+class RunTable:
+    """Keeps the runs in progress and the traces of recent requests.
+
+    The table belongs to the event loop's thread; its methods never wait, so
+    each of them is atomic.
+    """
+
+    def __init__(self) -> None:
+        """Makes an empty table."""
+        self._runs: dict[str, Run] = {}
+        self._traces: collections.OrderedDict[str, Trace] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Returns how many requests are in progress."""
+        return len(self._runs)
+
+    def add(self, run: Run) -> None:
+        """Adds a run."""
+        self._runs[run.request_id] = run
+
+    def remove(self, run: Run) -> None:
+        """Removes a run unless a newer one took its place."""
+        run.let_go.set()
+        if self._runs.get(run.request_id) is run:
+            del self._runs[run.request_id]
+
+    def get(self, request_id: str) -> Run | None:
+        """Returns the run of a request."""
+        return self._runs.get(request_id)
+
+    def runs(self) -> tuple[Run, ...]:
+        """Returns every run in progress."""
+        return tuple(self._runs.values())
+
+    async def stop(self, request_id: str, stop: Stop) -> Run | None:
+        """Stops a run; the first reason stays."""
+        run = self._runs.get(request_id)
+        if run is None:
+            return None
+        await stop_run(run, stop)
+        return run
+
+    # Traces
+
+    def add_trace(self, trace: Trace) -> None:
+        """Keeps a trace; the oldest ones are forgotten."""
+        self._traces[trace.request_id] = trace
+        self._traces.move_to_end(trace.request_id)
+        while len(self._traces) > TRACE_LIMIT:
+            self._traces.popitem(last=False)
+
+    def trace(self, request_id: str) -> Trace | None:
+        """Returns how a recent request went."""
+        return self._traces.get(request_id)
+
+
+async def stop_run(run: Run, stop: Stop) -> None:
+    """Records why a run stops and detaches it from its stream.
+
+    A caller that went away may come back, so any later reason replaces that
+    one; every other reason stays.
+    """
+    if run.stop is None or run.stop is Stop.CALLER_GONE:
+        run.stop = stop
+    run.stopped.set()
+    if run.stream is not None:
+        await run.stream.close()
+
+
+async def until_stopped(run: Run, awaitable: Any) -> Any | None:
+    """Waits for `awaitable`; None and its cancellation if the run stops."""
+    work = asyncio.ensure_future(awaitable)
+    stopped = asyncio.ensure_future(run.stopped.wait())
+    try:
+        await asyncio.wait(
+            (work, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        return work.result() if work.done() else None
+    finally:
+        stopped.cancel()
+        if not work.done():
+            work.cancel()
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/account.py
@@ -0,0 +1,51 @@
+"""Counts, logs and explains every request; the outermost filter."""
+
+from seam_model import errors
+from seam_node import logs
+from seam_node import metrics
+from seam_node.controllers import runs
+from seam_node.filters import base
+
+
+class AccountFilter(base.Filter):
+    """Records how each request went."""
+
+    name = "account"
+
+    def __init__(
+        self, table: runs.RunTable, meter: metrics.Metrics, log: logs.Log
+    ):
+        """Takes where traces, counts and log lines go."""
+        self._table = table
+        self._metrics = meter
+        self._log = log
+
+    async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
+        """Passes the request on and records its outcome."""
+        result = await proceed(ctx)
+        error = None if result.is_ok() else result.error
+        outcome = "ok" if error is None else error.code
+        kind = "service" if ctx.raw.service else "generate"
+        ctx.trace.outcome = outcome
+        took_s = ctx.now() - ctx.arrived_at
+        self._metrics.request_ended(kind, ctx.trace.rank, outcome, took_s)
+        if ctx.first_token_at is not None:
+            first_s = ctx.first_token_at - ctx.arrived_at
+            self._metrics.first_token(ctx.trace.rank, first_s)
+        self._metrics.tokens_sent(ctx.tokens)
+        self._log.event(
+            "request_ended",
+            kind=kind,
+            request=ctx.trace.request_id,
+            workspace=ctx.trace.workspace,
+            rank=ctx.trace.rank,
+            outcome=outcome,
+            took_s=round(took_s, 4),
+            tokens=ctx.tokens,
+            reached_endpoint=ctx.reached_endpoint,
+        )
+        if isinstance(error, errors.SeamError):
+            ctx.note(self.name, error.describe())
+        if ctx.trace.request_id:
+            self._table.add_trace(ctx.trace)
+        return result
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -0,0 +1,138 @@
+"""The filter chain: what a filter is and what passes through it."""
+
+import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import config
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import requests
+from seam_node.controllers import runs
+from seam_node.ports import engine
+
+Result = expression.Result[None, errors.SeamError]
+Proceed = Callable[["Context"], Awaitable[Result]]
+
+
+class Sink(abc.ABC):
+    """Where the answer to one caller goes."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> bool:
+        """Sends bytes of a stream; False once the caller is gone."""
+
+    @abc.abstractmethod
+    def gone(self) -> bool:
+        """Tells whether the caller's connection has closed."""
+
+    @abc.abstractmethod
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """Sets what is called once when the caller's connection closes."""
+
+
+@attrs.frozen
+class RawRequest:
+    """A request as it came in."""
+
+    body: bytes
+    headers: Mapping[str, str]
+    """Header names in lower case."""
+    service: str = ""
+    operation: str = ""
+
+
+@attrs.define(eq=False)
+class Context:
+    """One request on its way through the filters."""
+
+    raw: RawRequest
+    sink: Sink
+    arrived_at: float
+    """Monotonic time of arrival, in seconds."""
+    trace: runs.Trace
+    now: Callable[[], float]
+    generate: requests.GenerateRequest | None = None
+    call: requests.ServiceRequest | None = None
+    effective: config.Defaults | None = None
+    """Defaults with the exceptions for this request applied."""
+    run: runs.Run | None = None
+    stream: engine.DecodeStream | None = None
+    decode: endpoints.EndpointRecord | None = None
+    reply: requests.ServiceReply | None = None
+    lead_s: float = 0.0
+    attempt: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    """Endpoints that failed this request."""
+    reached_endpoint: bool = False
+    """Whether a byte of the request may have reached an endpoint."""
+    next_seq: int = 1
+    """Id of the next event that the caller is due."""
+    first_token_at: float | None = None
+    tokens: int = 0
+    resumed: bool = False
+
+    def note(self, name: str, what: str) -> None:
+        """Adds a step to the request's trace."""
+        at_s = round(self.now() - self.arrived_at, 4)
+        self.trace.steps.append(runs.Step(at_s, name, what))
+
+    def remaining_s(self) -> float:
+        """Returns the seconds left until the request's deadline."""
+        req = self.generate or self.call
+        return self.arrived_at + req.deadline_s - self.now()
+
+
+class Filter(abc.ABC):
+    """One step that every request of a kind passes."""
+
+    name = "filter"
+
+    @abc.abstractmethod
+    async def apply(self, ctx: Context, proceed: Proceed) -> Result:
+        """Handles the request and passes it on by calling `proceed`."""
+
+
+class Chain:
+    """Filters in order, each of which decides whether to proceed."""
+
+    def __init__(self, filters: Sequence[Filter]):
+        """Takes the filters, outermost first."""
+        self._entry = _link(filters)
+
+    async def run(self, ctx: Context) -> Result:
+        """Passes one request through every filter."""
+        return await self._entry(ctx)
+
+
+def _link(filters: Sequence[Filter]) -> Proceed:
+    proceed: Proceed = _end
+    for step in reversed(filters):
+        proceed = _bind(step, proceed)
+    return proceed
+
+
+def _bind(step: Filter, proceed: Proceed) -> Proceed:
+    def apply(ctx: Context) -> Any:
+        return step.apply(ctx, proceed)
+
+    return apply
+
+
+async def _end(ctx: Context) -> Result:
+    del ctx
+    return OK
+
+
+OK: Result = expression.Ok(None)
+
+
+def fail(error: errors.SeamError) -> Result:
+    """Returns a failed result."""
+    return expression.Error(error)
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/claim.py
@@ -0,0 +1,51 @@
+"""Claims the key of a non-idempotent order before it is sent."""
+
+import hashlib
+
+from seam_model import errors
+from seam_node.controllers import claims
+from seam_node.filters import base
+
+DIGEST_BYTES = 8
+
+
+def order_digest(service: str, operation: str, body: bytes) -> bytes:
+    """Returns a short hash that tells a reused key from a repeat."""
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (service.encode(), operation.encode(), body):
+        state.update(len(part).to_bytes(4, "big"))
+        state.update(part)
+    return state.digest()
+
+
+class ClaimFilter(base.Filter):
+    """Lets each non-idempotent order through at most once."""
+
+    name = "claim"
+
+    def __init__(self, controller: claims.ClaimController):
+        """Takes the controller of claims."""
+        self._claims = controller
+
+    async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
+        """Claims, passes on, and records the outcome."""
+        call = ctx.call
+        if call.idempotent:
+            return await proceed(ctx)
+        digest = order_digest(call.service, call.operation, call.body)
+        claimed = await self._claims.claim(call.key, digest)
+        if claimed.is_error():
+            is_unknown = isinstance(claimed.error, errors.OutcomeUnknown)
+            ctx.reached_endpoint = is_unknown
+            return base.fail(claimed.error)
+        claim = claimed.ok
+        if claim.reply is not None:
+            ctx.note(self.name, "answered from the recorded outcome")
+            ctx.reply = claim.reply
+            return base.OK
+        result = await proceed(ctx)
+        if ctx.reply is not None:
+            self._claims.record(claim, ctx.reply)
+        elif not ctx.reached_endpoint:
+            self._claims.release(claim)
+        return result
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/identify.py
@@ -0,0 +1,31 @@
+"""Identifies the workspace by its signed token."""
+
+from collections.abc import Mapping
+
+from seam_model import errors
+from seam_model import keys
+from seam_node.filters import base
+
+TOKEN_HEADER = "authorization"
+_SCHEME = "bearer "
+
+
+class IdentifyFilter(base.Filter):
+    """Lets only requests with a token of their workspace pass."""
+
+    name = "identify"
+
+    def __init__(self, secrets: Mapping[str, bytes]):
+        """Takes the signing secrets by key id."""
+        self._secrets = secrets
+
+    async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
+        """Checks the token against the workspace that the request names."""
+        workspace = (ctx.generate or ctx.call).workspace
+        header = ctx.raw.headers.get(TOKEN_HEADER, "")
+        token = ""
+        if header[: len(_SCHEME)].lower() == _SCHEME:
+            token = header[len(_SCHEME) :].strip()
+        if not keys.verify_workspace_token(self._secrets, workspace, token):
+            return base.fail(errors.WorkspaceUnknown(workspace))
+        return await proceed(ctx)
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/stream.py
@@ -0,0 +1,156 @@
+"""Relays the tokens of one run to its caller, in sequence and once."""
+
+import asyncio
+
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.controllers import engines
+from seam_node.controllers import liveness
+from seam_node.controllers import runs
+from seam_node.filters import base
+
+RESUME_ATTEMPTS = 3
+RESUME_TIMEOUT_S = 2.0
+RESUME_PAUSE_S = 0.2
+_EVENT_END = b"\n\n"
+
+
+def trim_chunk(
+    chunk: endpoints.TokenChunk, next_seq: int
+) -> endpoints.TokenChunk | None:
+    """Drops events below `next_seq`; None if nothing is left."""
+    skip = next_seq - chunk.first_seq
+    if skip <= 0:
+        return chunk
+    if skip >= chunk.count:
+        return None
+    parts = chunk.data.split(_EVENT_END, skip)
+    return endpoints.TokenChunk(
+        next_seq, chunk.count - skip, parts[-1], chunk.done
+    )
+
+
+class StreamFilter(base.Filter):
+    """Ends the chain of model requests."""
+
+    name = "stream"
+
+    def __init__(
+        self,
+        directory: engines.EngineDirectory,
+        proof: liveness.Proof,
+        owner: str,
+    ):
+        """Takes the engines, the proof of ownership and our own name."""
+        self._directory = directory
+        self._proof = proof
+        self._owner = owner
+
+    async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
+        """Relays until the stream ends, or the run is stopped."""
+        del proceed
+        ctx.sink.on_gone(lambda: self._caller_gone(ctx))
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, ctx.remaining_s()), self._deadline, ctx
+        )
+        try:
+            return await self._relay(ctx)
+        finally:
+            timer.cancel()
+            if ctx.stream is not None:
+                await ctx.stream.close()
+
+    async def _relay(self, ctx: base.Context) -> base.Result:
+        lost = 0
+        while True:
+            if ctx.run.stop is not None:
+                return await self._stopped(ctx)
+            read = await ctx.stream.read()
+            if ctx.run.stop is not None:
+                return await self._stopped(ctx)
+            chunk = read.ok if read.is_ok() else None
+            if chunk is None or chunk.first_seq > ctx.next_seq:
+                lost += 1
+                resumed = await self._resume(ctx, lost)
+                if resumed.is_error():
+                    return resumed
+                continue
+            if not self._proof.holds() and not await self._proof.renew(ctx.run):
+                await runs.stop_run(ctx.run, runs.Stop.HANDED_OVER)
+                continue
+            lost = 0
+            if await self._send(ctx, chunk):
+                return base.OK
+
+    async def _send(
+        self, ctx: base.Context, chunk: endpoints.TokenChunk
+    ) -> bool:
+        """Sends what is new of a chunk; True at the end of the stream."""
+        fresh = trim_chunk(chunk, ctx.next_seq)
+        if fresh is None:
+            return chunk.done
+        if not await ctx.sink.write(fresh.data):
+            self._caller_gone(ctx)
+            return False
+        if ctx.first_token_at is None:
+            ctx.first_token_at = ctx.now()
+        ctx.next_seq = fresh.first_seq + fresh.count
+        ctx.tokens += fresh.count - fresh.done
+        return fresh.done
+
+    async def _resume(self, ctx: base.Context, lost: int) -> base.Result:
+        await ctx.stream.close()
+        record = self._directory.record(ctx.run.engine)
+        if lost > RESUME_ATTEMPTS or record is None:
+            return base.fail(errors.EndpointLost(ctx.run.engine))
+        ctx.note(self.name, f"resume after event {ctx.next_seq - 1}")
+        order = endpoints.ResumeOrder(
+            ctx.run.request_id,
+            ctx.run.incarnation,
+            ctx.next_seq - 1,
+            self._owner,
+        )
+        engine = self._directory.engine(ctx.run.engine)
+        opened = await engine.resume(order, RESUME_TIMEOUT_S)
+        if opened.is_ok():
+            ctx.stream = opened.ok
+            ctx.run.stream = opened.ok
+            return base.OK
+        if isinstance(opened.error, errors.StreamUnknown):
+            return expression.Error(opened.error)
+        await asyncio.sleep(RESUME_PAUSE_S)
+        return await self._resume(ctx, lost + 1)
+
+    async def _stopped(self, ctx: base.Context) -> base.Result:
+        stop = ctx.run.stop
+        ctx.note(self.name, f"stopped: {stop.value}")
+        if stop is runs.Stop.HANDED_OVER:
+            return base.fail(errors.Cancelled(stop.value))
+        if stop is runs.Stop.DEADLINE:
+            return base.fail(errors.DeadlinePassed(self.name))
+        if stop is runs.Stop.CALLER_GONE:
+            await self._await_return(ctx)
+        return base.fail(errors.Cancelled(ctx.run.stop.value))
+
+    async def _await_return(self, ctx: base.Context) -> None:
+        """Waits for the resume window, or until someone takes the run over."""
+        run = ctx.run
+        window_s = ctx.effective.resume_window_s
+        end = ctx.now() + window_s
+        while run.stop is runs.Stop.CALLER_GONE and ctx.now() < end:
+            run.stopped.clear()
+            try:
+                await asyncio.wait_for(run.stopped.wait(), end - ctx.now())
+            except TimeoutError:
+                return
+
+    def _caller_gone(self, ctx: base.Context) -> None:
+        if ctx.run.stop is None:
+            asyncio.ensure_future(
+                runs.stop_run(ctx.run, runs.Stop.CALLER_GONE)
+            )
+
+    def _deadline(self, ctx: base.Context) -> None:
+        asyncio.ensure_future(runs.stop_run(ctx.run, runs.Stop.DEADLINE))
--- /dev/null
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -0,0 +1,211 @@
+"""Runs the prefill and moves its KV cache to the decode engine."""
+
+import asyncio
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import ids
+from seam_node import metrics
+from seam_node.controllers import engines
+from seam_node.controllers import planner
+from seam_node.controllers import registry
+from seam_node.controllers import runs
+from seam_node.filters import base
+from seam_node.ports import engine
+
+PREFILL_TIMEOUT_S = 10.0
+DECODE_TIMEOUT_S = 2.0
+KV_RETRY_MARGIN_S = 0.1
+"""Life that a KV cache must have left for a second transfer."""
+
+
+@attrs.frozen
+class _Prefilled:
+    engine: str
+    url: str
+    kv_handle: str
+    expires_at: float
+
+
+class TransferFilter(base.Filter):
+    """Turns a reserved slot into a running stream."""
+
+    name = "transfer"
+
+    def __init__(
+        self,
+        directory: engines.EngineDirectory,
+        plan: planner.Planner,
+        registry_: registry.RunRegistry,
+        meter: metrics.Metrics,
+        owner: str,
+    ):
+        """Takes the engines, the planner, the registry and our own name."""
+        self._directory = directory
+        self._planner = plan
+        self._registry = registry_
+        self._metrics = meter
+        self._owner = owner
+
+    async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
+        """Prefills, transfers, and passes the open stream on."""
+        if ctx.stream is not None:
+            return await proceed(ctx)
+        ctx.run.incarnation = ids.engine_incarnation(
+            ctx.run.generation, ctx.attempt
+        )
+        prefilled = await self._prefill(ctx)
+        if prefilled.is_error():
+            return base.fail(prefilled.error)
+        opened = await self._decode(ctx, prefilled.ok)
+        if opened.is_error():
+            self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
+            return base.fail(opened.error)
+        ctx.stream = opened.ok
+        ctx.run.stream = opened.ok
+        try:
+            return await proceed(ctx)
+        finally:
+            ctx.stream = None
+            ctx.run.stream = None
+
+    # Prefill
+
+    async def _prefill(self, ctx: base.Context) -> expression.Result:
+        req = ctx.generate
+        choices = self._planner.prefill_order(req, ctx.decode.name, ctx.excluded)
+        if not choices:
+            return expression.Error(
+                errors.NoEndpoint(f"prefill engine for {req.model}")
+            )
+        name = choices[0].name
+        ctx.note(self.name, f"prefill engine {name}")
+        order = endpoints.PrefillOrder(
+            req.request_id,
+            ctx.run.incarnation,
+            req.model,
+            req.prompt,
+            req.prompt_tokens,
+            int(req.rank),
+            req.adapter,
+        )
+        started_at = ctx.now()
+        ctx.reached_endpoint = True
+        self._planner.prefill_started(name, req.prompt_tokens)
+        self._metrics.prefill_ordered(req.prompt_tokens)
+        try:
+            done = await runs.until_stopped(
+                ctx.run,
+                self._directory.engine(name).prefill(order, PREFILL_TIMEOUT_S),
+            )
+        finally:
+            self._planner.prefill_ended(name, req.prompt_tokens)
+        if done is None:
+            await self._cancel(name, ctx.run)
+            return expression.Error(errors.Cancelled(ctx.run.stop.value))
+        if done.is_error():
+            await self._prefill_failed(ctx, name, done.error)
+            return done
+        self._planner.learn_rate(
+            name,
+            req.prompt_tokens - done.ok.cached_tokens,
+            ctx.now() - started_at,
+        )
+        self._planner.prefixes.stored(name, req.prompt)
+        record = self._directory.record(name)
+        return expression.Ok(
+            _Prefilled(
+                name,
+                record.url if record else "",
+                done.ok.kv_handle,
+                ctx.now() + done.ok.life_s,
+            )
+        )
+
+    async def _prefill_failed(
+        self, ctx: base.Context, name: str, error: errors.EndpointError
+    ) -> None:
+        ctx.excluded.add(name)
+        if isinstance(error, errors.EndpointUnreachable):
+            ctx.reached_endpoint = ctx.attempt > 0
+        if isinstance(
+            error, errors.EndpointUnreachable | errors.EndpointLost
+        ):
+            self._directory.suspect(name)
+            await self._cancel(name, ctx.run)
+
+    # Decode
+
+    async def _decode(
+        self, ctx: base.Context, kv: _Prefilled
+    ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
+        opened = await self._decode_once(ctx, kv)
+        if opened.is_ok() or not isinstance(
+            opened.error, errors.TransferFailed
+        ):
+            return opened
+        if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
+            return opened
+        ctx.note(self.name, "transfer retried from the same KV")
+        return await self._decode_once(ctx, kv)
+
+    async def _decode_once(
+        self, ctx: base.Context, kv: _Prefilled
+    ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
+        req = ctx.generate
+        name = ctx.decode.name
+        ctx.run.engine = name
+        order = endpoints.DecodeOrder(
+            req.request_id,
+            ctx.run.incarnation,
+            req.model,
+            req.prompt_tokens,
+            req.max_tokens,
+            int(req.rank),
+            kv.url,
+            kv.kv_handle,
+            self._owner,
+            req.adapter,
+        )
+        self._registry.placed(req.request_id, name)
+        self._planner.transfer_started(kv.engine)
+        decode = asyncio.ensure_future(
+            self._directory.engine(name).decode(order, DECODE_TIMEOUT_S)
+        )
+        try:
+            opened = await runs.until_stopped(ctx.run, asyncio.shield(decode))
+        finally:
+            self._planner.transfer_ended(kv.engine)
+        if opened is None:
+            decode.add_done_callback(_close_stream)
+            await self._cancel(name, ctx.run)
+            return expression.Error(errors.Cancelled(ctx.run.stop.value))
+        if opened.is_error():
+            await self._decode_failed(ctx, name, opened.error)
+        return opened
+
+    async def _decode_failed(
+        self, ctx: base.Context, name: str, error: errors.EndpointError
+    ) -> None:
+        if isinstance(error, errors.TransferFailed | errors.KvExpired):
+            return
+        ctx.excluded.add(name)
+        if not isinstance(error, errors.EndpointFull):
+            self._directory.suspect(name)
+            await self._cancel(name, ctx.run)
+
+    async def _cancel(self, name: str, run: runs.Run) -> None:
+        if self._directory.record(name) is not None:
+            await self._directory.engine(name).cancel(
+                run.request_id, run.incarnation
+            )
+
+
+def _close_stream(decode: asyncio.Future[Any]) -> None:
+    if decode.cancelled() or decode.exception() or decode.result().is_error():
+        return
+    asyncio.ensure_future(decode.result().ok.close())
--- /dev/null
+++ b/packages/seam_node/seam_node/metrics.py
@@ -0,0 +1,81 @@
+"""Metrics of one instance; no label ever holds a request or workspace."""
+
+import prometheus_client
+
+_TIME_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.49, 0.75, 1.0, 2.0, 5.0, 15.0, 60.0,
+)
+
+
+class Metrics:
+    """Counters and gauges in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Makes all metrics at zero."""
+        self.registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "seam_requests_total",
+            "Requests that ended.",
+            ("kind", "rank", "outcome"),
+            registry=self.registry,
+        )
+        self._request_s = prometheus_client.Histogram(
+            "seam_request_seconds",
+            "Time from arrival to the end.",
+            ("kind", "rank"),
+            buckets=_TIME_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._first_token_s = prometheus_client.Histogram(
+            "seam_first_token_seconds",
+            "Time from arrival to the first token.",
+            ("rank",),
+            buckets=_TIME_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._tokens = prometheus_client.Counter(
+            "seam_tokens_total", "Tokens sent.", registry=self.registry
+        )
+        self._prefill = prometheus_client.Counter(
+            "seam_prefill_tokens_total",
+            "Prompt tokens ordered to be prefilled.",
+            registry=self.registry,
+        )
+        self._wasted = prometheus_client.Counter(
+            "seam_prefill_wasted_tokens_total",
+            "Prompt tokens whose prefill was thrown away.",
+            registry=self.registry,
+        )
+
+    def gauge(self, name: str, text: str, source: object) -> None:
+        """Adds a gauge whose value `source()` returns when it is read."""
+        gauge = prometheus_client.Gauge(name, text, registry=self.registry)
+        gauge.set_function(source)
+
+    def request_ended(
+        self, kind: str, rank: str, outcome: str, took_s: float
+    ) -> None:
+        """Counts a request that ended."""
+        rank = rank or "none"
+        self._requests.labels(kind, rank, outcome).inc()
+        self._request_s.labels(kind, rank).observe(took_s)
+
+    def first_token(self, rank: str, took_s: float) -> None:
+        """Counts a first token."""
+        self._first_token_s.labels(rank).observe(took_s)
+
+    def tokens_sent(self, count: int) -> None:
+        """Counts tokens sent to callers."""
+        self._tokens.inc(count)
+
+    def prefill_ordered(self, tokens: int) -> None:
+        """Counts prompt tokens that an engine was asked to prefill."""
+        self._prefill.inc(tokens)
+
+    def prefill_wasted(self, tokens: int) -> None:
+        """Counts prompt tokens whose prefill was thrown away."""
+        self._wasted.inc(tokens)
+
+    def text(self) -> bytes:
+        """Returns the metrics in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
