--- /dev/null
+++ b/tests/standins/engine_core_cache.py
@@ -0,0 +1,63 @@
+"""Prefix cache of an engine, and its late and incomplete events."""
+
+import asyncio
+import collections
+import random
+import zlib
+
+from seam_model import endpoints
+from standins import costs
+
+
+def prefix_hashes(prompt: str) -> list[int]:
+    """Returns a hash for every whole-piece prefix of a prompt."""
+    size = costs.PREFIX_PIECE_CHARS
+    value, found = 0, []
+    for start in range(0, len(prompt) - size + 1, size):
+        value = zlib.crc32(prompt[start : start + size].encode(), value)
+        found.append(value)
+    return found
+
+
+class PrefixCache:
+    """Least recently used prompt prefixes in limited memory."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._pieces: collections.OrderedDict = collections.OrderedDict()
+        self._events: list[tuple[float, endpoints.CacheEvent]] = []
+        self._seq = 0
+
+    def cached_tokens(self, prompt: str, tokens: int) -> int:
+        """Returns how many of a prompt's tokens need no prefill."""
+        hits = 0
+        for value in prefix_hashes(prompt):
+            if value not in self._pieces:
+                break
+            self._pieces.move_to_end(value)
+            hits += 1
+        chars = max(len(prompt), 1)
+        return tokens * hits * costs.PREFIX_PIECE_CHARS // chars
+
+    def store(self, prompt: str) -> None:
+        """Stores every prefix of a prompt, evicting old ones."""
+        for value in prefix_hashes(prompt):
+            if value not in self._pieces:
+                self._publish(value, stored=True)
+            self._pieces[value] = None
+        while len(self._pieces) > costs.PREFIX_PIECES:
+            value, _ = self._pieces.popitem(last=False)
+            self._publish(value, stored=False)
+
+    def events(self, after: int) -> tuple[endpoints.CacheEvent, ...]:
+        """Returns the published events after a sequence number."""
+        until = asyncio.get_running_loop().time() - costs.CACHE_EVENT_LAG_S
+        found = [e for at, e in self._events if e.seq > after and at <= until]
+        return tuple(found)
+
+    def _publish(self, value: int, stored: bool) -> None:
+        self._seq += 1
+        if self._rng.random() >= costs.CACHE_EVENT_LOSS:
+            event = endpoints.CacheEvent(self._seq, value, stored)
+            now = asyncio.get_running_loop().time()
+            self._events.append((now, event))
