--- a/tests/standins/engine_core.py
+++ b/tests/standins/engine_core.py
@@ -112,6 +112,10 @@
 
     async def close(self) -> None:
         """Detaches; the stream runs on."""
+        self.detach()
+
+    def detach(self) -> None:
+        """Detaches, unless a later reader has displaced this one."""
         if self._stream.reader is self:
             self._core.detach(self._stream)
 
--- a/tests/standins/engine_server.py
+++ b/tests/standins/engine_server.py
@@ -95,7 +95,7 @@
 
     def on_connection_close(self) -> None:
         if self.reader is not None:
-            asyncio.ensure_future(self.reader.close())
+            self.reader.detach()
 
     def drop(self) -> None:
         """Closes the connection without an answer."""
--- /dev/null
+++ b/tests/standins/fakes.py
@@ -0,0 +1,475 @@
+"""In-memory ports of a node for the virtual loop, with faults by a seed."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+from typing import Any
+
+import expression
+import msgpack
+
+from seam_model import codec
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import requests
+from seam_node.ports import engine
+from seam_node.ports import peer
+from seam_node.ports import platform
+from seam_node.ports import service
+from standins import engine_core
+from standins import service_core
+
+PLATFORM = "platform"
+"""Name of the platform in `Links`."""
+CALL_TIMEOUT_S = 1.0
+SILENCE_S = 1.0
+"""Time without an event after which a stream counts as lost."""
+FLEET_LAG_S = 2.0
+ANNOUNCE_LIFE_S = 5.0
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Links:
+    """Delays and faults between named instances, endpoints and platform.
+
+    A frozen name neither sends nor receives until it is thawed; its timers
+    run on.
+    """
+
+    def __init__(self, rng: random.Random, near_s=0.0005, far_s=0.02):
+        self.places: dict[str, str] = {}
+        """Data centre of each name."""
+        self.jitter = 0.2
+        """Share of a delay that varies; above 1, messages overtake."""
+        self.loss = 0.0
+        self._rng, self._near_s, self._far_s = rng, near_s, far_s
+        self._cuts: set[tuple[str, str]] = set()
+        self._thawed: dict[str, asyncio.Event] = {}
+
+    def cut(self, source: str, target: str, both: bool = True) -> None:
+        """Loses what `source` sends to `target`, or both ways."""
+        self._cuts.add((source, target))
+        if both:
+            self._cuts.add((target, source))
+
+    def heal(self) -> None:
+        """Ends every cut."""
+        self._cuts.clear()
+
+    def freeze(self, name: str) -> None:
+        """Stops a name until `thaw`."""
+        self._thawed[name] = asyncio.Event()
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen name go on."""
+        self._thawed.pop(name).set()
+
+    async def travel(self, source: str, target: str) -> bool:
+        """Waits for a message's way; False when it is lost."""
+        await self._running(source)
+        if (source, target) in self._cuts or self._rng.random() < self.loss:
+            return False
+        near = self.places.get(source) == self.places.get(target)
+        delay_s = self._near_s if near else self._far_s
+        await asyncio.sleep(delay_s * (1 + self.jitter * self._rng.random()))
+        await self._running(target)
+        return (source, target) not in self._cuts
+
+    async def _running(self, name: str) -> None:
+        while name in self._thawed:
+            await self._thawed[name].wait()
+
+
+async def _order(
+    links: Links,
+    source: str,
+    target: str,
+    call: Callable[[], Any],
+    timeout_s: float,
+) -> expression.Result:
+    """Sends an order that runs on when its caller stops waiting."""
+    if not await links.travel(source, target):
+        await asyncio.sleep(timeout_s)
+        return expression.Error(errors.EndpointUnreachable(target))
+    task = asyncio.ensure_future(call())
+    kept = False
+    try:
+        done, _ = await asyncio.wait({task}, timeout=timeout_s)
+        kept = bool(done) and await links.travel(target, source)
+    finally:
+        if not kept:
+            task.add_done_callback(_abandon)
+    if kept:
+        return task.result()
+    return expression.Error(errors.EndpointLost(target))
+
+
+def _abandon(task: asyncio.Task) -> None:
+    if task.cancelled() or task.exception() or task.result().is_error():
+        return
+    if isinstance(task.result().ok, engine_core.Reader):
+        task.result().ok.detach()
+
+
+# Engines and services
+
+
+class _Stream(engine.DecodeStream):
+    def __init__(self, links, source, target, reader):
+        self._links, self._source, self._target = links, source, target
+        self._reader = reader
+
+    async def read(self) -> expression.Result:
+        lost = expression.Error(errors.EndpointLost(self._target))
+        try:
+            part = await asyncio.wait_for(self._reader.read(), SILENCE_S)
+        except TimeoutError:
+            return lost
+        arrived = await self._links.travel(self._target, self._source)
+        return part if arrived else lost
+
+    async def close(self) -> None:
+        self._reader.detach()
+
+
+class FakeEngine(engine.Engine):
+    """One instance's way to one engine core."""
+
+    def __init__(self, links: Links, source: str, core: Any):
+        self._links, self._source, self._core = links, source, core
+
+    async def _send(self, call: Callable, timeout_s: float = CALL_TIMEOUT_S):
+        target = self._core.name
+        return await _order(self._links, self._source, target, call, timeout_s)
+
+    async def _open(self, call: Callable, timeout_s: float):
+        opened = await self._send(call, timeout_s)
+        name = self._core.name
+        return opened.map(
+            lambda reader: _Stream(self._links, self._source, name, reader)
+        )
+
+    async def prefill(self, order, timeout_s):
+        return await self._send(lambda: self._core.prefill(order), timeout_s)
+
+    async def decode(self, order, timeout_s):
+        return await self._open(lambda: self._core.decode(order), timeout_s)
+
+    async def resume(self, order, timeout_s):
+        return await self._open(lambda: self._core.resume(order), timeout_s)
+
+    async def cancel(self, request_id, incarnation):
+        return await self._send(
+            lambda: self._core.cancel(request_id, incarnation)
+        )
+
+    async def load(self):
+        return await self._send(self._core.load)
+
+    async def cache_events(self, after):
+        return await self._send(lambda: self._core.cache_events(after))
+
+    async def configure(self, order, timeout_s):
+        return await self._send(lambda: self._core.configure(order), timeout_s)
+
+
+class FakeEngineFactory(engine.EngineFactory):
+    """Engines of one instance, over the cores of all by name."""
+
+    def __init__(self, links: Links, source: str, cores: dict[str, Any]):
+        self._links, self._source, self._cores = links, source, cores
+
+    def engine(self, record: endpoints.EndpointRecord) -> FakeEngine:
+        core = self._cores[record.name]
+        return FakeEngine(self._links, self._source, core)
+
+    async def close(self) -> None:
+        """Holds nothing to close."""
+
+
+def kv_importer(links: Links, name: str, cores: dict[str, Any]):
+    """Returns the importer of engine `name`; URLs end with engine names."""
+
+    async def import_kv(url: str, handle: str) -> expression.Result:
+        source = url.rpartition("/")[2]
+        if not await links.travel(name, source):
+            return expression.Error(errors.TransferFailed(name))
+        moved = await cores[source].export(handle)
+        if not await links.travel(source, name):
+            return expression.Error(errors.TransferFailed(name))
+        return moved
+
+    return import_kv
+
+
+class FakeService(service.Service):
+    """One instance's way to the service cores, by endpoint name."""
+
+    def __init__(
+        self,
+        links: Links,
+        source: str,
+        cores: dict[str, service_core.ServiceCore],
+    ):
+        self._links, self._source, self._cores = links, source, cores
+
+    async def call(
+        self, record: endpoints.EndpointRecord, order: endpoints.ServiceOrder
+    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+        core = self._cores[record.name]
+
+        def run():
+            return core.call(
+                order.service, order.operation, order.key, order.body
+            )
+
+        target, wait_s = record.name, order.timeout_s
+        return await _order(self._links, self._source, target, run, wait_s)
+
+    async def close(self) -> None:
+        """Holds nothing to close."""
+
+
+# Peers
+
+
+class FakePeerNetwork(peer.PeerNetwork):
+    """Peer links in memory; messages pass through the codec."""
+
+    def __init__(
+        self, links: Links, name: str, nodes: dict[str, "FakePeerNetwork"]
+    ):
+        """Makes the links of `name`; `nodes` holds the started ones."""
+        self._links, self._name, self._nodes = links, name, nodes
+        self._handlers: dict[type, peer.Handler] = {}
+        self._peers: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    def handle(self, message_type: type, handler: peer.Handler) -> None:
+        self._handlers[message_type] = handler
+
+    async def start(self) -> None:
+        self._nodes[self._name] = self
+
+    async def close(self) -> None:
+        self._nodes.pop(self._name, None)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def set_peers(self, records: Iterable[endpoints.InstanceRecord]) -> None:
+        self._peers = {record.name for record in records}
+
+    async def request(
+        self, peer: str, message: Any, timeout_s: float
+    ) -> expression.Result[Any, errors.PeerError]:
+        if peer == self._name:
+            return expression.Ok(await self._receive(peer, message))
+        if peer not in self._peers:
+            return expression.Error(errors.PeerUnreachable(peer))
+        task = self._spawn(self._round_trip(peer, message))
+        done, _ = await asyncio.wait({task}, timeout=timeout_s)
+        result = task.result() if done else None
+        if result is None:
+            if done:
+                await asyncio.sleep(timeout_s)
+            return expression.Error(errors.PeerTimeout(peer))
+        return result
+
+    def notify(self, peer: str, message: Any) -> None:
+        if peer == self._name:
+            self._spawn(self._receive(peer, message))
+        elif peer in self._peers:
+            self._spawn(self._round_trip(peer, message))
+
+    def _spawn(self, coro: Any) -> asyncio.Task:
+        task = asyncio.ensure_future(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _round_trip(self, name: str, message: Any) -> Any:
+        """Returns the answer's result, or None when a message was lost."""
+        row = _through_codec(message)
+        if not await self._links.travel(self._name, name):
+            return None
+        node = self._nodes.get(name)
+        if node is None:
+            return expression.Error(errors.PeerUnreachable(name))
+        answer = await node._receive(self._name, row)
+        if not await self._links.travel(name, self._name):
+            return None
+        return expression.Ok(None if answer is None else _through_codec(answer))
+
+    async def _receive(self, sender: str, message: Any) -> Any:
+        return await self._handlers[type(message)](sender, message)
+
+
+def _through_codec(message: Any) -> Any:
+    packed = codec.pack(codec.message_to_row(message))
+    return codec.row_to_message(msgpack.unpackb(packed)).ok
+
+
+# Platform
+
+
+class Store:
+    """The platform's objects and list, shared by all `FakePlatform`s."""
+
+    def __init__(self):
+        self.down = False
+        self.lose_answers = 0
+        """Number of coming writes that take effect without an answer."""
+        self.writes = 0
+        self.objects: dict[str, platform.Stored] = {}
+        self.changed = asyncio.Event()
+        self._versions: dict[str, int] = {}
+        self._endpoints: list[tuple[float, tuple]] = [(0.0, ())]
+        self._announced: dict[str, list] = {}
+
+    def set_endpoints(
+        self, records: Iterable[endpoints.EndpointRecord]
+    ) -> None:
+        """Sets the endpoints that the list will show."""
+        self._endpoints.append((_now(), tuple(records)))
+
+    def announce(self, record: endpoints.InstanceRecord) -> None:
+        self._announced.setdefault(record.name, []).append((_now(), record))
+
+    def fleet(self) -> endpoints.FleetList:
+        """Returns the list as it was `FLEET_LAG_S` ago."""
+        until = _now() - FLEET_LAG_S
+        old = [shown for at, shown in self._endpoints if at <= until]
+        shown = old[-1] if old else self._endpoints[0][1]
+        instances = []
+        for name in sorted(self._announced):
+            recent = [
+                record
+                for at, record in self._announced[name]
+                if until - ANNOUNCE_LIFE_S < at <= until
+            ]
+            instances.extend(recent[-1:])
+        return endpoints.FleetList(tuple(instances), shown)
+
+    def get(self, key: str) -> expression.Result:
+        if key not in self.objects:
+            return expression.Error(errors.ObjectMissing(key))
+        return expression.Ok(self.objects[key])
+
+    def put(self, key: str, data: bytes, expected: int) -> expression.Result:
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return conflict
+        version = self._versions.get(key, 0) + 1
+        self._versions[key] = version
+        self.objects[key] = platform.Stored(key, version, data)
+        self._wake()
+        return expression.Ok(version)
+
+    def delete(self, key: str, expected: int) -> expression.Result:
+        if key not in self.objects:
+            return expression.Error(errors.ObjectMissing(key))
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return conflict
+        del self.objects[key]
+        self._wake()
+        return expression.Ok(None)
+
+    def _conflict(self, key: str, expected: int) -> expression.Result | None:
+        stored = self.objects.get(key)
+        current = stored.version if stored else platform.ABSENT
+        if current == expected:
+            return None
+        error = errors.VersionConflict(key, expected, current)
+        return expression.Error(error)
+
+    def _wake(self) -> None:
+        self.writes += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class FakePlatform(platform.Platform):
+    """One instance's way to the shared store."""
+
+    def __init__(self, links: Links, name: str, store: Store):
+        self._links, self._name, self._store = links, name, store
+
+    async def start(self) -> None:
+        """Opens nothing."""
+
+    async def close(self) -> None:
+        """Closes nothing."""
+
+    async def _call(self, what: str, call: Callable, write: bool = False):
+        unavailable = expression.Error(errors.PlatformUnavailable(what))
+        there = await self._links.travel(self._name, PLATFORM)
+        if self._store.down:
+            return unavailable
+        if not there:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return unavailable
+        result = call()
+        lost = write and self._store.lose_answers > 0
+        self._store.lose_answers -= lost
+        back = await self._links.travel(PLATFORM, self._name)
+        if back and not lost:
+            return result
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        if write:
+            return expression.Error(errors.PlatformAmbiguous(what))
+        return unavailable
+
+    async def get(self, key):
+        return await self._call("get", lambda: self._store.get(key))
+
+    async def put(self, key, data, expected):
+        def write():
+            return self._store.put(key, data, expected)
+
+        return await self._call("put", write, write=True)
+
+    async def delete(self, key, expected):
+        def write():
+            return self._store.delete(key, expected)
+
+        return await self._call("delete", write, write=True)
+
+    async def list_keys(self, prefix):
+        def read():
+            keys = [k for k in self._store.objects if k.startswith(prefix)]
+            return expression.Ok(tuple(sorted(keys)))
+
+        return await self._call("list_keys", read)
+
+    async def watch(self, key, above, timeout_s):
+        end = _now() + timeout_s
+        while True:
+            changed = self._store.changed
+            found = await self._call("watch", lambda: self._store.get(key))
+            missing = found.is_error() and isinstance(
+                found.error, errors.ObjectMissing
+            )
+            if found.is_error() and not missing:
+                return found
+            if found.is_ok() and found.ok.version > above:
+                return found
+            try:
+                await asyncio.wait_for(changed.wait(), max(end - _now(), 0))
+            except TimeoutError:
+                return expression.Ok(None)
+
+    async def fleet(self):
+        return await self._call(
+            "fleet", lambda: expression.Ok(self._store.fleet())
+        )
+
+    async def announce(self, record):
+        def write():
+            return expression.Ok(self._store.announce(record))
+
+        return await self._call("announce", write, write=True)
--- /dev/null
+++ b/tests/standins/virtual_loop.py
@@ -0,0 +1,65 @@
+"""Event loop whose time jumps to the next timer when nothing is ready."""
+
+import asyncio
+from collections.abc import Coroutine
+import selectors
+from typing import Any
+
+from seam_node.ports import clock
+
+EPOCH_S = 1_750_000_000.0
+"""Wall clock time at which every virtual loop starts."""
+
+
+class DeadlockError(Exception):
+    """Nothing is ready and no timer is set."""
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Passes the loop's wait for the next timer to `jump` at once."""
+
+    jump: Any = None
+
+    def select(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise DeadlockError("nothing is ready and no timer is set")
+        if timeout > 0:
+            self.jump(timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop on virtual time; it serves no sockets."""
+
+    def __init__(self):
+        self._virtual_s = 0.0
+        selector = _JumpingSelector()
+        super().__init__(selector)
+        selector.jump = self._jump
+
+    def time(self) -> float:
+        """Returns virtual seconds since the loop was made."""
+        return self._virtual_s
+
+    def _jump(self, timeout_s: float) -> None:
+        self._virtual_s += timeout_s
+
+
+class VirtualClock(clock.Clock):
+    """Clock of the running virtual loop."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return EPOCH_S + self.monotonic()
+
+
+def run(coro: Coroutine, limit_s: float = 3600.0) -> Any:
+    """Runs a coroutine to its end on a loop of its own.
+
+    Raises `DeadlockError` when it can never go on, `TimeoutError` when it takes
+    more than `limit_s` virtual seconds.
+    """
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(asyncio.wait_for(coro, limit_s))
