--- /dev/null
+++ b/tests/test_standins/test_history.py
@@ -0,0 +1,95 @@
+"""Each rule of the checker catches a planted violation."""
+
+import attrs
+import pytest
+
+from standins import engine_core
+from standins import history
+
+
+def events(id_, first, last, end=False, at_s=1.0):
+    made = [
+        history.Event(seq, engine_core.token_text(id_, seq), at_s + seq / 100)
+        for seq in range(first, last + 1)
+    ]
+    if end:
+        made.append(history.Event(last + 1, "", at_s + last))
+    return tuple(made)
+
+
+WHOLE = history.Attempt(
+    "r", "a", 0, 9, events=events("r", 1, 4, end=True), done_tokens=4
+)
+FIRST_HALF = history.Attempt("s", "a", 0, 2, events=events("s", 1, 2))
+SECOND_HALF = history.Attempt(
+    "s", "b", 3, 9, False, 2, events("s", 3, 4, True, at_s=4.0), 4
+)
+ORDER = history.Attempt("k", "a", 1, 2, is_order=True)
+REFUSED = history.Attempt("n", "a", 1, 2, status=503, ran="no")
+
+
+def clean():
+    return history.History(
+        attempts=[WHOLE, FIRST_HALF, SECOND_HALF, ORDER, REFUSED],
+        sightings=[history.Sighting("S1", "k", 1.5)],
+        accepted=[history.ConfigAccepted(2, 10.0)],
+        config_seen=[
+            history.ConfigSeen("a", 1, 0.0),
+            history.ConfigSeen("a", 2, 13.9),
+        ],
+        lives=[history.Life("a", 0.0), history.Life("b", 0.0, 12.0, 8.0)],
+        held=[history.Held("d", "r", 5.5)],
+    )
+
+
+def test_clean_history_passes():
+    assert history.check(clean()) == []
+
+
+def changed(index, **changes):
+    def plant(h):
+        h.attempts[index] = attrs.evolve(h.attempts[index], **changes)
+
+    return plant
+
+
+PLANTED = [
+    (history.SecondAnswer, lambda h: h.attempts.append(WHOLE)),
+    (
+        history.SecondAnswer,
+        changed(1, events=events("s", 1, 2, at_s=40.0)),
+    ),
+    (history.BrokenAnswer, changed(0, id="other")),
+    (history.BrokenAnswer, changed(1, events=events("s", 2, 3))),
+    (history.BrokenAnswer, changed(0, done_tokens=3)),
+    (
+        history.RanAfterNo,
+        lambda h: h.sightings.append(history.Sighting("S1", "n", 1.5)),
+    ),
+    (
+        history.OrderDoubled,
+        lambda h: h.sightings.append(history.Sighting("S2", "k", 1.6)),
+    ),
+    (history.OrderLost, lambda h: h.sightings.clear()),
+    (
+        history.ConfigFell,
+        lambda h: h.config_seen.append(history.ConfigSeen("a", 1, 20.0)),
+    ),
+    (
+        history.ConfigLate,
+        lambda h: h.lives.append(history.Life("c", 1.0)),
+    ),
+    (history.WorkOnLeaving, changed(0, instance="b", start_s=11.5, end_s=12)),
+    (history.CutByStop, changed(2, broken=True)),
+    (
+        history.MemoryHeld,
+        lambda h: h.held.append(history.Held("d", "s", 6.5)),
+    ),
+]
+
+
+@pytest.mark.parametrize(("violation", "plant"), PLANTED)
+def test_planted_violation_is_caught(violation, plant):
+    planted = clean()
+    plant(planted)
+    assert {type(v) for v in history.check(planted)} == {violation}
