--- a/tests/standins/engine_server.py
+++ b/tests/standins/engine_server.py
@@ -31,6 +31,12 @@
     errors.EndpointFull: 429,
     errors.StreamUnknown: 404,
 }
+ORDERS = {
+    "prefill": endpoints.PrefillOrder,
+    "decode": endpoints.DecodeOrder,
+    "resume": endpoints.ResumeOrder,
+    "configure": endpoints.ModelOrder,
+}
 EXPORT_TIMEOUT_S = 5.0
 
 
@@ -144,12 +150,6 @@
             await reader.close()
 
 
-class Prefill(Handler):
-    async def post(self) -> None:
-        order = self.order(endpoints.PrefillOrder)
-        self.finish_json(await self.core.prefill(order))
-
-
 class Export(Handler):
     async def post(self, handle: str) -> None:
         moved = await self.core.export(handle)
@@ -158,16 +158,16 @@
         self.finish({"bytes": moved.ok})
 
 
-class Decode(Handler):
-    async def post(self) -> None:
-        order = self.order(endpoints.DecodeOrder)
-        await self.relay(await self.core.decode(order))
-
+class Order(Handler):
+    """Passes an order to the core's method of the same name."""
 
-class Resume(Handler):
-    async def post(self) -> None:
-        order = self.order(endpoints.ResumeOrder)
-        await self.relay(await self.core.resume(order))
+    async def post(self, name: str) -> None:
+        order = self.order(ORDERS[name])
+        result = await getattr(self.core, name)(order)
+        if name in ("decode", "resume"):
+            await self.relay(result)
+        else:
+            self.finish_json(result)
 
 
 class Stream(Handler):
@@ -187,12 +187,6 @@
         self.finish_json(await self.core.cache_events(after))
 
 
-class Configure(Handler):
-    async def post(self) -> None:
-        order = self.order(endpoints.ModelOrder)
-        self.finish_json(await self.core.configure(order))
-
-
 class Control(Handler):
     """Sets fault switches; `down_s` refuses connections for a while."""
 
@@ -221,14 +215,11 @@
 
 
 ROUTES = [
-    (r"/v1/prefill", Prefill),
+    (r"/v1/(prefill|decode|resume|configure)", Order),
     (r"/v1/kv/([^/]+)/export", Export),
-    (r"/v1/decode", Decode),
-    (r"/v1/resume", Resume),
     (r"/v1/streams/([^/]+)", Stream),
     (r"/v1/load", Load),
     (r"/v1/cache-events", CacheEvents),
-    (r"/v1/configure", Configure),
     (r"/control", Control),
     (r"/history", History),
 ]
