--- a/tests/test_standins/test_fakes.py
+++ b/tests/test_standins/test_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from seam_model import endpoints
@@ -208,3 +209,71 @@
     assert again == errors.VersionConflict("k", 0, 1)
     assert isinstance(down, errors.PlatformUnavailable)
     assert watched.data == b"1"
+
+
+def test_full_engine_and_failed_transfer_refuse():
+    async def scenario():
+        bed = Bed()
+        handle = await bed.prefill()
+        bed.cores["d"].set_faults(fail_transfers=1)
+        failed = await bed.decoder.decode(bed.order(handle), 9.0)
+        retried = await bed.decoder.decode(bed.order(handle), 9.0)
+        await bed.decoder.cancel("r", 1)
+        big = attrs.evolve(bed.order(handle), request_id="b", max_tokens=10**7)
+        full = await bed.decoder.decode(big, 9.0)
+        return failed.error, retried.is_ok(), full.error
+
+    failed, retried, full = virtual_loop.run(scenario())
+    assert isinstance(failed, errors.TransferFailed)
+    assert retried
+    assert isinstance(full, errors.EndpointFull)
+
+
+def test_prefill_serves_the_urgent_rank_first():
+    async def scenario():
+        bed, ended = Bed(), []
+
+        async def one(name, rank, start_s):
+            await asyncio.sleep(start_s)
+            order = endpoints.PrefillOrder(name, 1, "m", "", 1000, rank)
+            await bed.cores["p"].prefill(order)
+            ended.append(name)
+
+        names = [("first", 1, 0), ("late", 1, 0.01), ("urgent", 0, 0.02)]
+        await asyncio.gather(*(one(*name) for name in names))
+        return ended, asyncio.get_running_loop().time()
+
+    ended, took_s = virtual_loop.run(scenario())
+    assert ended == ["first", "urgent", "late"]
+    assert took_s == pytest.approx(3 * 0.0625)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_old_fence_is_refused_only_where_it_is_checked(checks):
+    async def scenario():
+        role = endpoints.EngineRole.DECODE
+        core = engine_core.EngineCore(
+            "e", role, None, random.Random(1), checks_fence=checks
+        )
+        await core.configure(endpoints.ModelOrder("o2", 2, role, ("new",)))
+        old = endpoints.ModelOrder("o1", 1, role, ("old",))
+        return await core.configure(old), core.models
+
+    result, models = virtual_loop.run(scenario())
+    assert models == (("new",) if checks else ("old",))
+    assert result.is_error() == checks
+
+
+def test_cut_or_abandoned_decode_leaves_no_slot_taken():
+    async def scenario():
+        bed = Bed()
+        order = bed.order(await bed.prefill())
+        waiting = asyncio.ensure_future(bed.decoder.decode(order, 9.0))
+        await asyncio.sleep(0.002)
+        waiting.cancel()
+        await asyncio.sleep(1.0)
+        idle = [held.idle_s > 0 for held in bed.cores["d"].held()]
+        await bed.decoder.cancel("r", 1)
+        return idle, bed.cores["d"]._slots_used
+
+    assert virtual_loop.run(scenario()) == ([True], 0)
