--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -196,6 +196,39 @@
     allowed: str
 
 
+@attrs.frozen
+class SettingsInvalid(SeamError):
+    """The instance's settings have problems, all of them listed."""
+
+    code = "settings_invalid"
+    problems: tuple[BadInput, ...]
+
+    def describe(self) -> str:
+        """Returns one line for each problem."""
+        return list_problems(self.code, self.problems)
+
+
+@attrs.frozen
+class ConfigInvalid(SeamError):
+    """The fleet configuration has problems, all of them listed."""
+
+    code = "config_invalid"
+    problems: tuple[BadInput, ...]
+
+    def describe(self) -> str:
+        """Returns one line for each problem."""
+        return list_problems(self.code, self.problems)
+
+
+def list_problems(code: str, problems: tuple[BadInput, ...]) -> str:
+    """Returns a heading and one line for each problem."""
+    lines = [
+        f"  {p.field}: {p.value!r} is not allowed; allowed: {p.allowed}"
+        for p in problems
+    ]
+    return "\n".join([f"{code}: {len(lines)} problems", *lines])
+
+
 @attrs.frozen
 class BodyTooLarge(SeamError):
     """The request body is larger than the limit, in bytes."""
