--- a/packages/seam_model/seam_model/toml_check.py
+++ b/packages/seam_model/seam_model/toml_check.py
@@ -68,8 +68,9 @@
 class Checker:
     """Collects problems while objects are built."""
 
-    def __init__(self) -> None:
-        """Starts without problems."""
+    def __init__(self, strict: bool = True) -> None:
+        """Starts without problems; `strict` refuses unknown keys."""
+        self._strict = strict
         self.problems: list[errors.BadInput] = []
 
     def add(self, key: str, value: Any, allowed: str) -> Any:
@@ -110,7 +111,7 @@
             return self.add(path, plain, "a table")
         hints = _hints(cls)
         for key in plain:
-            if key not in hints:
+            if self._strict and key not in hints:
                 self.add(
                     _join(path, str(key)),
                     _unknown_value(plain[key]),
