--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/platform_http.py
@@ -0,0 +1,210 @@
+"""The platform over HTTP.
+
+An object is the raw body of `/v1/objects/{key}` with its version in
+`X-Version`; writes name the expected version in `If-Version` and get 409 with
+the current one. A watch is a long poll with `above` and `timeout_s`.
+"""
+
+import json
+from typing import Any
+import urllib.parse
+
+import attrs
+import expression
+import pycurl
+import tornado.curl_httpclient
+import tornado.httpclient
+
+from seam_model import codec
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.ports import platform
+
+MAX_CLIENTS = 512
+NO_CONTENT = 204
+NOT_FOUND = 404
+CONFLICT = 409
+_OK = (200, NO_CONTENT)
+_NOT_SENT = frozenset(
+    {
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_RESOLVE_PROXY,
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+"""Failures of curl before any byte of the request was sent."""
+
+
+@attrs.frozen
+class _Call:
+    operation: str
+    method: str
+    path: str
+    body: bytes | None = None
+    expected: int | None = None
+    wait_s: float = 0.0
+
+
+class HttpPlatform(platform.Platform):
+    """Reaches the platform through a curl client of its own."""
+
+    def __init__(self, url: str, timeout_s: float, token: str = ""):
+        """Takes the base URL and the time limit of a call."""
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._client: Any = None
+
+    async def start(self) -> None:
+        """Opens the client."""
+        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    async def close(self) -> None:
+        """Closes the client."""
+        client, self._client = self._client, None
+        if client is not None:
+            client.close()
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[platform.Stored, errors.PlatformError]:
+        """Returns an object, or `ObjectMissing`."""
+        result = await self._send(_Call("get", "GET", _object_path(key)))
+        return result.bind(lambda resp: _stored(key, resp))
+
+    async def put(
+        self, key: str, data: bytes, expected: int
+    ) -> expression.Result[int, errors.PlatformError]:
+        """Writes if the version is `expected`; returns the new version."""
+        call = _Call("put", "PUT", _object_path(key), data, expected)
+        result = await self._send(call)
+        if result.is_error():
+            return result
+        if result.ok.code == CONFLICT:
+            return expression.Error(_conflict(key, expected, result.ok))
+        version = _version(result.ok)
+        if version is None:
+            return expression.Error(errors.PlatformAmbiguous("put"))
+        return expression.Ok(version)
+
+    async def delete(
+        self, key: str, expected: int
+    ) -> expression.Result[None, errors.PlatformError]:
+        """Deletes if the version is `expected`."""
+        path = _object_path(key)
+        call = _Call("delete", "DELETE", path, expected=expected)
+        result = await self._send(call)
+        if result.is_ok() and result.ok.code == CONFLICT:
+            return expression.Error(_conflict(key, expected, result.ok))
+        return result.map(lambda _: None)
+
+    async def list_keys(
+        self, prefix: str
+    ) -> expression.Result[tuple[str, ...], errors.PlatformError]:
+        """Returns the keys that start with `prefix`, sorted."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        call = _Call("list", "GET", f"/v1/objects?{query}")
+        result = await self._send(call)
+        if result.is_error():
+            return result
+        try:
+            keys = json.loads(result.ok.body)["keys"]
+            return expression.Ok(tuple(sorted(str(key) for key in keys)))
+        except (ValueError, KeyError, TypeError):
+            return expression.Error(errors.PlatformUnavailable("list"))
+
+    async def watch(
+        self, key: str, above: int, timeout_s: float
+    ) -> expression.Result[platform.Stored | None, errors.PlatformError]:
+        """Waits for a version above `above`; None when time runs out."""
+        query = urllib.parse.urlencode({"above": above, "timeout_s": timeout_s})
+        path = f"{_object_path(key)}?{query}"
+        result = await self._send(_Call("watch", "GET", path, wait_s=timeout_s))
+        if result.is_ok() and result.ok.code == NO_CONTENT:
+            return expression.Ok(None)
+        return result.bind(lambda resp: _stored(key, resp))
+
+    async def fleet(
+        self,
+    ) -> expression.Result[endpoints.FleetList, errors.PlatformError]:
+        """Returns the lagging list of instances and endpoints."""
+        result = await self._send(_Call("fleet", "GET", "/v1/fleet"))
+        if result.is_error():
+            return result
+        listed = codec.from_json(result.ok.body, endpoints.FleetList)
+        return listed.map_error(lambda _: errors.PlatformUnavailable("fleet"))
+
+    async def announce(
+        self, record: endpoints.InstanceRecord
+    ) -> expression.Result[None, errors.PlatformError]:
+        """Shows this instance in the list until it stops announcing."""
+        name = urllib.parse.quote(record.name, safe="")
+        path = f"/v1/fleet/instances/{name}"
+        call = _Call("announce", "PUT", path, codec.to_json(record))
+        return (await self._send(call)).map(lambda _: None)
+
+    async def _send(self, call: _Call) -> expression.Result:
+        """Returns the response, or how far the call may have come."""
+        if self._client is None:
+            return expression.Error(errors.PlatformUnavailable(call.operation))
+        try:
+            resp = await self._client.fetch(
+                self._request(call), raise_error=False
+            )
+        except (tornado.httpclient.HTTPError, OSError) as exc:
+            return expression.Error(_failure(call, exc))
+        if resp.code == NOT_FOUND and call.operation in ("get", "watch"):
+            return expression.Ok(resp)
+        if resp.code in (*_OK, CONFLICT):
+            return expression.Ok(resp)
+        return expression.Error(_failure(call, resp.error))
+
+    def _request(self, call: _Call) -> tornado.httpclient.HTTPRequest:
+        headers = dict(self._headers)
+        if call.expected is not None:
+            headers["If-Version"] = str(call.expected)
+        return tornado.httpclient.HTTPRequest(
+            self._url + call.path,
+            method=call.method,
+            headers=headers,
+            body=call.body,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s + call.wait_s,
+            follow_redirects=False,
+        )
+
+
+def _failure(call: _Call, exc: Any) -> errors.PlatformError:
+    if call.method == "GET" or getattr(exc, "errno", None) in _NOT_SENT:
+        return errors.PlatformUnavailable(call.operation)
+    return errors.PlatformAmbiguous(call.operation)
+
+
+def _object_path(key: str) -> str:
+    return "/v1/objects/" + urllib.parse.quote(key, safe="")
+
+
+def _version(resp: tornado.httpclient.HTTPResponse) -> int | None:
+    text = resp.headers.get("X-Version", "")
+    return int(text) if text.isdecimal() else None
+
+
+def _conflict(
+    key: str, expected: int, resp: tornado.httpclient.HTTPResponse
+) -> errors.VersionConflict:
+    return errors.VersionConflict(key, expected, _version(resp) or 0)
+
+
+def _stored(
+    key: str, resp: tornado.httpclient.HTTPResponse
+) -> expression.Result[platform.Stored, errors.PlatformError]:
+    if resp.code == NOT_FOUND:
+        return expression.Error(errors.ObjectMissing(key))
+    version = _version(resp)
+    if version is None:
+        return expression.Error(errors.PlatformUnavailable("get"))
+    return expression.Ok(platform.Stored(key, version, resp.body))
--- /dev/null
+++ b/tests/standins/platform_core.py
@@ -0,0 +1,122 @@
+"""Versioned objects, watches and a lagging fleet list, in memory."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+import attrs
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.ports import platform
+
+ANNOUNCE_LIFE_S = 6.0
+
+
+class PlatformCore:
+    """The state of the stand-in platform; `now` gives seconds."""
+
+    def __init__(self, now: Callable[[], float], lag_s: float = 0.0):
+        """Starts empty; the list shows what was true `lag_s` ago."""
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.lag_s = lag_s
+        self._now = now
+        self._objects: dict[str, platform.Stored] = {}
+        self._last_version: dict[str, int] = {}
+        self._changed = asyncio.Event()
+        self._instances: dict[str, list[_Seen]] = {}
+        self._endpoints: dict[str, endpoints.EndpointRecord] = {}
+
+    def get(self, key: str) -> expression.Result:
+        """Returns an object, or `ObjectMissing`."""
+        self.counts["reads"] += 1
+        stored = self._objects.get(key)
+        if stored is None:
+            return expression.Error(errors.ObjectMissing(key))
+        return expression.Ok(stored)
+
+    def put(self, key: str, data: bytes, expected: int) -> expression.Result:
+        """Writes if the version is `expected`; versions never repeat."""
+        self.counts["writes"] += 1
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return expression.Error(conflict)
+        version = self._last_version.get(key, 0) + 1
+        self._last_version[key] = version
+        self._objects[key] = platform.Stored(key, version, data)
+        self._wake()
+        return expression.Ok(version)
+
+    def delete(self, key: str, expected: int) -> expression.Result:
+        """Deletes if the version is `expected`."""
+        self.counts["writes"] += 1
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return expression.Error(conflict)
+        self._objects.pop(key, None)
+        return expression.Ok(None)
+
+    def list_keys(self, prefix: str) -> tuple[str, ...]:
+        """Returns the keys that start with `prefix`, sorted."""
+        self.counts["reads"] += 1
+        return tuple(sorted(k for k in self._objects if k.startswith(prefix)))
+
+    async def watch(
+        self, key: str, above: int, timeout_s: float
+    ) -> platform.Stored | None:
+        """Waits for a version above `above`; None when time runs out."""
+        self.counts["watches"] += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    stored = self._objects.get(key)
+                    if stored is not None and stored.version > above:
+                        return stored
+                    await self._changed.wait()
+        except TimeoutError:
+            return None
+
+    def announce(self, record: endpoints.InstanceRecord) -> None:
+        """Shows an instance for `ANNOUNCE_LIFE_S`."""
+        self.counts["writes"] += 1
+        seen = self._instances.setdefault(record.name, [])
+        seen.append(_Seen(self._now(), record))
+        oldest = self._now() - self.lag_s - ANNOUNCE_LIFE_S
+        while len(seen) > 1 and seen[0].at_s < oldest:
+            seen.pop(0)
+
+    def register(self, record: endpoints.EndpointRecord) -> None:
+        """Adds or replaces an endpoint."""
+        self._endpoints[record.name] = record
+
+    def fleet(self) -> endpoints.FleetList:
+        """Returns the lagging list."""
+        self.counts["reads"] += 1
+        at_s = self._now() - self.lag_s
+        shown = []
+        for name in sorted(self._instances):
+            known = [s for s in self._instances[name] if s.at_s <= at_s]
+            if known and known[-1].at_s > at_s - ANNOUNCE_LIFE_S:
+                shown.append(known[-1].record)
+        ends = tuple(self._endpoints[name] for name in sorted(self._endpoints))
+        return endpoints.FleetList(tuple(shown), ends)
+
+    def _conflict(
+        self, key: str, expected: int
+    ) -> errors.VersionConflict | None:
+        stored = self._objects.get(key)
+        current = platform.ABSENT if stored is None else stored.version
+        if current == expected:
+            return None
+        return errors.VersionConflict(key, expected, current)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+@attrs.frozen
+class _Seen:
+    at_s: float
+    record: endpoints.InstanceRecord
