--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for engines, services and the platform, for tests."""
+"""Small stand-ins of the platform, engines and services for tests."""
