--- /dev/null
+++ b/packages/seam_model/seam_model/claims.py
@@ -0,0 +1,248 @@
+"""Claims of non-idempotent orders: keys, window, entries and transitions.
+
+One object holds the claims of one time bucket and one shard of the keys. The
+functions here are pure: they turn an object's entries and a message into an
+answer and the entries to be written.
+"""
+
+import enum
+import hashlib
+
+import attrs
+import expression
+import msgpack
+
+from seam_model import errors
+from seam_model import ids
+from seam_model import peers
+
+PREFIX = "claims/"
+BUCKET_S = 10
+SHARDS = 16
+"""Fixed for good: another number would look for old claims elsewhere."""
+WINDOW_S = 600.0
+FUTURE_S = 30.0
+"""How far a key's time may lie ahead of the instance's clock."""
+DELETE_MARGIN_S = 120.0
+"""Bound on the difference between two instances' wall clocks."""
+
+ENTRY_BYTES = 128
+"""Upper bound of an encoded entry without its body and content type."""
+CLAIM_LIMIT_BYTES = 800_000
+OBJECT_LIMIT_BYTES = 950_000
+REPLY_LIMIT_BYTES = 16_384
+CONTENT_TYPE_LIMIT_BYTES = 128
+NONCE_BYTES = 16
+RELEASED_KEPT = 4
+
+
+class ClaimState(enum.Enum):
+    """State in a `ClaimAnswer`."""
+
+    CLAIMED = "claimed"
+    HELD = "held"
+    DONE = "done"
+    DONE_NO_BODY = "done_no_body"
+    MISMATCH = "mismatch"
+    UNAVAILABLE = "unavailable"
+    """The platform is out; nothing was written."""
+    UNSETTLED = "unsettled"
+    """The platform is out; the claim may have been written."""
+    OUTSIDE = "outside"
+    FULL = "full"
+
+
+class Phase(enum.IntEnum):
+    """Where a claim stands."""
+
+    CLAIMED = 0
+    DONE = 1
+    DONE_NO_BODY = 2
+    RELEASED = 3
+
+
+@attrs.frozen
+class Entry:
+    """One claim as stored."""
+
+    digest: bytes
+    nonce: bytes
+    phase: Phase
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    released: tuple[bytes, ...] = ()
+    """Nonces that were given up and may claim no more, newest last."""
+
+
+@attrs.frozen
+class Step:
+    """Answer to a message and the entry to write, if any."""
+
+    answer: peers.ClaimAnswer | peers.ClaimStored
+    entry: Entry | None = None
+
+
+Entries = dict[bytes, Entry]
+
+# Keys and window
+
+
+def bucket_of(key: bytes) -> int:
+    """Returns the time bucket of a packed UUIDv7."""
+    return int(ids.uuid7_wall_s(ids.unpack(key)) // BUCKET_S)
+
+
+def shard_of(key: bytes) -> int:
+    """Returns the shard of a packed key."""
+    return hashlib.blake2b(key, digest_size=1).digest()[0] % SHARDS
+
+
+def shard_name(shard: int) -> bytes:
+    """Returns the name by which a shard's owner is chosen."""
+    return b"claims/%02x" % shard
+
+
+def object_key(key: bytes) -> str:
+    """Returns the key of the object that holds a claim."""
+    return f"{PREFIX}{bucket_of(key):012d}/{shard_of(key):02x}"
+
+
+def parse_object_key(text: str) -> tuple[int, int]:
+    """Returns bucket and shard of an object's key."""
+    bucket, shard = text.removeprefix(PREFIX).split("/")
+    return int(bucket), int(shard, 16)
+
+
+def in_window(key: bytes, wall_s: float) -> bool:
+    """Tells whether a key may be claimed at a wall clock time."""
+    age_s = wall_s - ids.uuid7_wall_s(ids.unpack(key))
+    return -FUTURE_S <= age_s <= WINDOW_S
+
+
+def is_expired(bucket: int, wall_s: float) -> bool:
+    """Tells whether no clock in bounds still accepts a key of a bucket."""
+    end_s = (bucket + 1) * BUCKET_S
+    return wall_s > end_s + WINDOW_S + DELETE_MARGIN_S
+
+
+# Objects
+
+
+def encode(entries: Entries) -> bytes:
+    """Returns an object's bytes."""
+    rows = [
+        [key, *attrs.astuple(entry, recurse=False)]
+        for key, entry in sorted(entries.items())
+    ]
+    return msgpack.packb(rows, use_bin_type=True)
+
+
+def decode(data: bytes) -> expression.Result[Entries, errors.BadInput]:
+    """Returns the entries of an object, or `BadInput`."""
+    try:
+        rows = msgpack.unpackb(data)
+        entries = {row[0]: _entry(row) for row in rows}
+    except (ValueError, TypeError, IndexError, msgpack.UnpackException):
+        return expression.Error(
+            errors.BadInput("claims", repr(data[:16]), "encoded claims")
+        )
+    return expression.Ok(entries)
+
+
+def _entry(row: list) -> Entry:
+    return Entry(row[1], row[2], Phase(row[3]), *row[4:7], tuple(row[7]))
+
+
+def size_bound(entries: Entries) -> int:
+    """Returns an upper bound of the encoded size, in bytes."""
+    return sum(
+        ENTRY_BYTES
+        + len(entry.body)
+        + len(entry.content_type)
+        + len(entry.released) * (NONCE_BYTES + 2)
+        for entry in entries.values()
+    )
+
+
+# Transitions
+
+
+def apply(entries: Entries, message: object, size: int) -> Step:
+    """Returns what a message does to an object of a size in bytes."""
+    if isinstance(message, peers.ClaimRequest):
+        return _claim(entries, message, size)
+    if isinstance(message, peers.ClaimOutcome):
+        return _record(entries, message, size)
+    assert isinstance(message, peers.ClaimRelease)
+    return _release(entries, message)
+
+
+def _answer(state: ClaimState) -> Step:
+    return Step(peers.ClaimAnswer(state.value))
+
+
+def _claim(entries: Entries, req: peers.ClaimRequest, size: int) -> Step:
+    old = entries.get(req.key)
+    if old is not None and old.phase is not Phase.RELEASED:
+        return _repeat(old, req)
+    if old is not None and req.nonce in old.released:
+        return _answer(ClaimState.UNAVAILABLE)
+    if size + ENTRY_BYTES > CLAIM_LIMIT_BYTES:
+        return _answer(ClaimState.FULL)
+    released = old.released if old else ()
+    entry = Entry(req.digest, req.nonce, Phase.CLAIMED, released=released)
+    return Step(peers.ClaimAnswer(ClaimState.CLAIMED.value), entry)
+
+
+def _repeat(old: Entry, req: peers.ClaimRequest) -> Step:
+    if old.digest != req.digest:
+        return _answer(ClaimState.MISMATCH)
+    if old.phase is Phase.CLAIMED:
+        own = old.nonce == req.nonce
+        return _answer(ClaimState.CLAIMED if own else ClaimState.HELD)
+    whole = old.phase is Phase.DONE
+    state = ClaimState.DONE if whole else ClaimState.DONE_NO_BODY
+    return Step(
+        peers.ClaimAnswer(state.value, old.status, old.content_type, old.body)
+    )
+
+
+def _record(entries: Entries, msg: peers.ClaimOutcome, size: int) -> Step:
+    old = entries.get(msg.key)
+    if old is None or old.nonce != msg.nonce or old.phase is Phase.RELEASED:
+        return Step(peers.ClaimStored(False))
+    if old.phase is not Phase.CLAIMED:
+        return Step(peers.ClaimStored(True))
+    extra = len(msg.body) + len(msg.content_type)
+    keeps = (
+        len(msg.body) <= REPLY_LIMIT_BYTES
+        and len(msg.content_type) <= CONTENT_TYPE_LIMIT_BYTES
+        and size + extra <= OBJECT_LIMIT_BYTES
+    )
+    if keeps:
+        entry = attrs.evolve(
+            old,
+            phase=Phase.DONE,
+            status=msg.status,
+            content_type=msg.content_type,
+            body=msg.body,
+        )
+    else:
+        entry = attrs.evolve(old, phase=Phase.DONE_NO_BODY, status=msg.status)
+    return Step(peers.ClaimStored(True), entry)
+
+
+def _release(entries: Entries, msg: peers.ClaimRelease) -> Step:
+    old = entries.get(msg.key)
+    if old is None:
+        entry = Entry(b"", msg.nonce, Phase.RELEASED, released=(msg.nonce,))
+        return Step(peers.ClaimStored(True), entry)
+    done = old.phase in (Phase.DONE, Phase.DONE_NO_BODY)
+    if done or msg.nonce in old.released:
+        return Step(peers.ClaimStored(True))
+    released = (*old.released, msg.nonce)[-RELEASED_KEPT:]
+    own = old.nonce == msg.nonce
+    phase = Phase.RELEASED if own else old.phase
+    entry = attrs.evolve(old, phase=phase, released=released)
+    return Step(peers.ClaimStored(True), entry)
--- a/packages/seam_model/seam_model/codec.py
+++ b/packages/seam_model/seam_model/codec.py
@@ -37,6 +37,7 @@
         17: peers.ClaimStored,
         18: peers.ConfigFetch,
         19: peers.ConfigObject,
+        20: peers.ClaimRelease,
     }
 )
 _TAGS = {cls: tag for tag, cls in PEER_MESSAGES.items()}
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -245,6 +245,14 @@
     key: str
 
 
+@attrs.frozen
+class KeyReused(SeamError):
+    """The idempotency key was used before with another body."""
+
+    code = "key_reused"
+    key: str
+
+
 # Refusals by policy
 
 
@@ -328,6 +336,14 @@
     outcome: str
 
 
+@attrs.frozen
+class ClaimsFull(SeamError):
+    """The object that would hold the claim has no room."""
+
+    code = "claims_full"
+    key: str
+
+
 @attrs.frozen
 class OutcomeUnknown(SeamError):
     """The order was claimed and sent, and its outcome is not known."""
@@ -336,6 +352,15 @@
     key: str
 
 
+@attrs.frozen
+class OutcomeNotKept(SeamError):
+    """The order ran once; its reply was too large to be kept."""
+
+    code = "outcome_not_kept"
+    key: str
+    status: int
+
+
 @attrs.frozen
 class Cancelled(SeamError):
     """The caller cancelled the request or went away."""
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -173,7 +173,7 @@
     """Outcome of a claim."""
 
     state: str
-    """`claimed`, `held`, `done`, `mismatch` or `unavailable`."""
+    """Value of a `claims.ClaimState`."""
     status: int = 0
     content_type: str = ""
     body: bytes = b""
@@ -197,6 +197,14 @@
     stored: bool
 
 
+@attrs.frozen
+class ClaimRelease:
+    """Gives up a claim of which no byte was sent; answered `ClaimStored`."""
+
+    key: bytes
+    nonce: bytes
+
+
 # Configuration
 
 
