--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/drain.py
@@ -0,0 +1,138 @@
+"""Takes the instance out of service without cutting a request."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import errors
+from seam_node import task
+
+REFUSE_AFTER_S = 3.0
+HURRIED_HANDOVER_S = 1.0
+"""Time left to the handover once a second signal has come."""
+
+
+class Phase(enum.IntEnum):
+    """Phases of leaving, in order."""
+
+    SERVING = 0
+    ANNOUNCED = 1
+    """Out of entry answers and peers' choices; new work is still taken."""
+    REFUSING = 2
+    ENDED = 3
+
+
+@attrs.frozen
+class Begin:
+    """Asks the controller to start leaving, or to hurry if it has."""
+
+    reason: str
+
+
+class DrainController(task.Task):
+    """Counts requests in progress and leads through the phases.
+
+    `on_phase` is called at each change of phase, before anything else
+    happens. `handover` is run after the last request has ended.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        on_phase: Callable[[Phase], None],
+        handover: tuple[Callable[[], Awaitable[None]], ...] = (),
+        refuse_after_s: float = REFUSE_AFTER_S,
+    ):
+        """Starts in phase SERVING."""
+        super().__init__("drain")
+        self._instance = instance
+        self._on_phase = on_phase
+        self._handover = handover
+        self._refuse_after_s = refuse_after_s
+        self.phase = Phase.SERVING
+        self.reason = ""
+        self.in_progress = 0
+        self.failed_hooks: list[BaseException] = []
+        self._begun = False
+        self._hurry = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._ended = asyncio.Event()
+
+    def begin(self, reason: str) -> None:
+        """Starts leaving; a second call skips every wait but for requests."""
+        self.tell(Begin(reason))
+
+    def admit(self) -> expression.Result[None, errors.InstanceLeaving]:
+        """Counts a new request in, or refuses with `InstanceLeaving`."""
+        if self.phase >= Phase.REFUSING:
+            return expression.Error(errors.InstanceLeaving(self._instance))
+        self.in_progress += 1
+        self._idle.clear()
+        return expression.Ok(None)
+
+    def end_request(self) -> None:
+        """Counts an admitted request out."""
+        self.in_progress -= 1
+        if self.in_progress == 0:
+            self._idle.set()
+
+    async def wait_ended(self) -> None:
+        """Waits for phase ENDED."""
+        await self._ended.wait()
+
+    async def receive(self, message: Any) -> Any:
+        """Handles `Begin`."""
+        if not isinstance(message, Begin):
+            return
+        if self._begun:
+            self._hurry.set()
+            return
+        self._begun = True
+        self.reason = message.reason
+        self._enter(Phase.ANNOUNCED)
+        self.spawn(self._leave())
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        self._on_phase(phase)
+
+    async def _leave(self) -> None:
+        await self._wait_announced()
+        self._enter(Phase.REFUSING)
+        await self._idle.wait()
+        await self._hand_over()
+        self._enter(Phase.ENDED)
+        self._ended.set()
+
+    async def _wait_announced(self) -> None:
+        try:
+            async with asyncio.timeout(self._refuse_after_s):
+                await self._hurry.wait()
+        except TimeoutError:
+            return
+
+    async def _hand_over(self) -> None:
+        hooks = asyncio.ensure_future(self._run_hooks())
+        hurry = asyncio.ensure_future(self._hurry.wait())
+        both = {hooks, hurry}
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({hooks}, timeout=HURRIED_HANDOVER_S)
+        finally:
+            for fut in both:
+                fut.cancel()
+            await asyncio.gather(*both, return_exceptions=True)
+
+    async def _run_hooks(self) -> None:
+        """Runs each hook; a failed one is kept and does not stop the rest."""
+        for hook in self._handover:
+            try:
+                await hook()
+            except Exception as exc:
+                self.failed_hooks.append(exc)
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/lease.py
@@ -0,0 +1,199 @@
+"""Holds one named lease in the platform.
+
+Validity counts on the monotonic clock from before the renewal was sent, so a
+holder that was paused finds its lease lapsed before it acts. The fencing
+number rises at every change of holder.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import codec
+from seam_model import errors
+from seam_node import task
+from seam_node.ports import clock as clock_port
+from seam_node.ports import platform as platform_port
+
+PREFIX = "leases/"
+DURATION_S = 15.0
+RENEWALS_PER_DURATION = 3
+
+
+@attrs.frozen
+class LeaseRecord:
+    """A lease as stored in the platform."""
+
+    holder: str
+    incarnation: int
+    fence: int
+    duration_s: float
+    nonce: int
+    """Counts the holder's writes, so that a lost answer can be read back."""
+
+
+@attrs.frozen
+class Tick:
+    """Asks the controller to renew or to try to acquire the lease."""
+
+
+@attrs.frozen
+class Resign:
+    """Asks the controller to give the lease up."""
+
+
+@attrs.frozen
+class _Seen:
+    version: int
+    record: LeaseRecord | None
+    since_s: float
+    """Monotonic time at which this version was first observed."""
+
+
+class LeaseController(task.Task):
+    """Acquires and renews the lease `name` while `wants` returns True.
+
+    `drain_s` is the longest timeout of an order whose engine ignores fencing
+    numbers; a new holder waits it out after the old lease.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        incarnation: int,
+        platform: platform_port.Platform,
+        clock: clock_port.Clock,
+        wants: Callable[[], bool],
+        drain_s: float,
+        duration_s: float = DURATION_S,
+    ):
+        """Starts without the lease."""
+        super().__init__(f"lease/{name}")
+        self._key = PREFIX + name
+        self._holder = holder
+        self._incarnation = incarnation
+        self._platform = platform
+        self._clock = clock
+        self._wants = wants
+        self._drain_s = drain_s
+        self._duration_s = duration_s
+        self._seen: _Seen | None = None
+        self._valid_until_s = float("-inf")
+        self._held_fence = 0
+        self._nonce = 0
+        self._resigned = False
+
+    async def start(self) -> None:
+        """Starts the mailbox loop and the renewal timer."""
+        await super().start()
+        self.spawn(self._timer())
+
+    def valid_for(self, now: float) -> float:
+        """Returns the seconds for which the lease is surely held, or 0.
+
+        `now` is monotonic time in seconds, read just before acting.
+        """
+        return max(0.0, self._valid_until_s - now)
+
+    def fence(self) -> int:
+        """Returns the fencing number of the lease last held, or 0."""
+        return self._held_fence
+
+    async def receive(self, message: Any) -> Any:
+        """Handles `Tick` and `Resign`."""
+        if isinstance(message, Resign):
+            self._resigned = True
+            await self._give_up()
+        elif not self._resigned:
+            await self._tick()
+
+    async def _timer(self) -> None:
+        while True:
+            self.tell(Tick())
+            await asyncio.sleep(self._duration_s / RENEWALS_PER_DURATION)
+
+    async def _tick(self) -> None:
+        await self._observe()
+        if self._seen is None:
+            return
+        if self._is_own(self._seen.record):
+            await self._keep(self._seen.record)
+        elif self._wants() and self._waited_out(self._seen):
+            await self._acquire(self._seen.record)
+
+    async def _observe(self) -> None:
+        got = await self._platform.get(self._key)
+        if got.is_error():
+            if not isinstance(got.error, errors.ObjectMissing):
+                return
+            version, record = platform_port.ABSENT, None
+        else:
+            parsed = codec.from_json(got.ok.data, LeaseRecord)
+            if parsed.is_error():
+                return
+            version, record = got.ok.version, parsed.ok
+        if self._seen is None or self._seen.version != version:
+            # The time is read after the answer, so the wait is never short.
+            now = self._clock.monotonic()
+            self._seen = _Seen(version, record, now)
+
+    def _is_own(self, record: LeaseRecord | None) -> bool:
+        return (
+            record is not None
+            and record.holder == self._holder
+            and record.incarnation == self._incarnation
+        )
+
+    def _waited_out(self, seen: _Seen) -> bool:
+        if seen.record is None:
+            return True
+        wait_s = seen.record.duration_s + self._drain_s
+        return self._clock.monotonic() - seen.since_s > wait_s
+
+    async def _acquire(self, old: LeaseRecord | None) -> None:
+        fence = old.fence + 1 if old else 1
+        await self._write(self._duration_s, fence)
+
+    async def _keep(self, record: LeaseRecord) -> None:
+        if self._wants():
+            await self._write(self._duration_s, record.fence)
+        elif record.duration_s > 0:
+            await self._give_up()
+
+    async def _give_up(self) -> None:
+        if self._seen is None or not self._is_own(self._seen.record):
+            return
+        self._valid_until_s = float("-inf")
+        await self._write(0.0, self._seen.record.fence)
+        self._valid_until_s = float("-inf")
+
+    async def _write(self, duration_s: float, fence: int) -> None:
+        self._nonce += 1
+        record = LeaseRecord(
+            self._holder, self._incarnation, fence, duration_s, self._nonce
+        )
+        sent_s = self._clock.monotonic()
+        put = await self._platform.put(
+            self._key, codec.to_json(record), self._seen.version
+        )
+        if put.is_ok():
+            self._seen = _Seen(put.ok, record, self._clock.monotonic())
+        else:
+            await self._read_back(put)
+        # Only the very write that was sent counts: an older one of ours,
+        # found in its place, says nothing about this time.
+        if self._seen.record == record:
+            self._valid_until_s = sent_s + duration_s
+            self._held_fence = fence
+        elif not self._is_own(self._seen.record):
+            self._valid_until_s = float("-inf")
+
+    async def _read_back(
+        self, put: expression.Result[int, errors.PlatformError]
+    ) -> None:
+        if not isinstance(put.error, errors.PlatformUnavailable):
+            await self._observe()
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/roles.py
@@ -0,0 +1,173 @@
+"""Orders engines into their wanted role, models and adapters.
+
+Orders state the wanted end state, so sending one twice does no harm. An
+engine that ignores fencing numbers gets an order only while the lease
+outlasts the order's timeout.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_node import task
+from seam_node.controllers import lease as lease_module
+from seam_node.ports import clock as clock_port
+from seam_node.ports import engine as engine_port
+
+ORDER_TIMEOUT_S = 5.0
+PERIOD_S = 5.0
+READ_BACK_S = 60.0
+"""Time after which an order that the list does not show is sent again."""
+
+
+@attrs.frozen
+class WantedState:
+    """Wanted end state of one engine."""
+
+    role: endpoints.EngineRole
+    models: tuple[str, ...]
+    adapters: tuple[str, ...] = ()
+
+
+Records = tuple[endpoints.EndpointRecord, ...]
+
+
+@attrs.frozen
+class Apply:
+    """Asks the controller to send what is due."""
+
+
+@attrs.frozen
+class _Sent:
+    wanted: WantedState
+    fence: int
+    at_s: float
+
+
+class RolesController(task.Task):
+    """Sends model orders while it holds the lease.
+
+    `observed` returns the engines as the platform lists them; `decide` turns
+    them into the wanted state by engine name, from configuration and measured
+    demand. `loads_per_s` is the weight store's rate of model loads.
+    """
+
+    def __init__(
+        self,
+        lease: lease_module.LeaseController,
+        engines: engine_port.EngineFactory,
+        clock: clock_port.Clock,
+        observed: Callable[[], Records],
+        decide: Callable[[Records], dict[str, WantedState]],
+        loads_per_s: float,
+        order_timeout_s: float = ORDER_TIMEOUT_S,
+    ):
+        """Starts with nothing sent."""
+        super().__init__("roles")
+        self._lease = lease
+        self._engines = engines
+        self._clock = clock
+        self._observed = observed
+        self._decide = decide
+        self._load_gap_s = 1 / loads_per_s
+        self._timeout_s = order_timeout_s
+        self._sent: dict[str, _Sent] = {}
+        self._next_load_s = float("-inf")
+        self._orders = 0
+
+    async def start(self) -> None:
+        """Starts the mailbox loop and the timer."""
+        await super().start()
+        self.spawn(self._timer())
+
+    async def receive(self, message: Any) -> Any:
+        """Handles `Apply`."""
+        if isinstance(message, Apply):
+            await self._apply()
+
+    async def _timer(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            self.tell(Apply())
+
+    async def _apply(self) -> None:
+        if not self._may_send(checks_fence=True):
+            return
+        records = self._observed()
+        wanted = self._decide(records)
+        for record in sorted(records, key=lambda item: item.name):
+            target = wanted.get(record.name)
+            if target is None or record.leaving:
+                continue
+            if _is_state(record, target):
+                self._sent.pop(record.name, None)
+            elif self._is_due(record.name, target):
+                await self._order(record, target)
+
+    def _may_send(self, checks_fence: bool) -> bool:
+        valid_s = self._lease.valid_for(self._clock.monotonic())
+        if checks_fence:
+            return valid_s > 0
+        return valid_s > self._timeout_s
+
+    def _is_due(self, name: str, target: WantedState) -> bool:
+        sent = self._sent.get(name)
+        if sent is None or sent.wanted != target:
+            return True
+        if sent.fence != self._lease.fence():
+            return True
+        return self._clock.monotonic() - sent.at_s > READ_BACK_S
+
+    async def _order(
+        self, record: endpoints.EndpointRecord, target: WantedState
+    ) -> None:
+        loads = len(set(target.models) - set(record.models))
+        loads += len(set(target.adapters) - set(record.adapters))
+        now = self._clock.monotonic()
+        if loads and now < self._next_load_s:
+            return
+        # The lease is checked last, with nothing awaited before the send.
+        if not self._may_send(record.checks_fence):
+            return
+        self._next_load_s = now + loads * self._load_gap_s
+        await self._send(record, target)
+
+    async def _send(
+        self, record: endpoints.EndpointRecord, target: WantedState
+    ) -> None:
+        self._orders += 1
+        fence = self._lease.fence()
+        order = endpoints.ModelOrder(
+            f"{fence}-{self._orders}",
+            fence,
+            target.role,
+            target.models,
+            target.adapters,
+        )
+        sent_s = self._clock.monotonic()
+        done = await self._configure(record, order)
+        if done.is_ok():
+            self._sent[record.name] = _Sent(target, fence, sent_s)
+
+    async def _configure(
+        self, record: endpoints.EndpointRecord, order: endpoints.ModelOrder
+    ) -> expression.Result[None, errors.EndpointError]:
+        engine = self._engines.engine(record)
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                return await engine.configure(order, self._timeout_s)
+        except TimeoutError:
+            return expression.Error(errors.EndpointLost(record.name))
+
+
+def _is_state(record: endpoints.EndpointRecord, target: WantedState) -> bool:
+    return (
+        record.role is target.role
+        and set(record.models) == set(target.models)
+        and set(record.adapters) == set(target.adapters)
+    )
--- /dev/null
+++ b/tests/seam_node/controllers/test_lease.py
@@ -0,0 +1,135 @@
+"""Leases: races, lost answers, waiting out, lapse while paused."""
+
+import asyncio
+
+import pytest
+
+from seam_node.controllers import lease
+from tests.seam_node.controllers import claim_fakes
+
+DRAIN_S = 5.0
+WAIT_S = lease.DURATION_S + DRAIN_S
+
+
+def make(platform, holder, incarnation=1):
+    clock = claim_fakes.Clock()
+    return lease.LeaseController(
+        "roles", holder, incarnation, platform, clock, lambda: True, DRAIN_S
+    )
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def test_two_holders_race_for_one_lease():
+    async def main():
+        platform = claim_fakes.Platform()
+        both = [make(platform, name) for name in "ab"]
+        await asyncio.gather(*(one.receive(lease.Tick()) for one in both))
+        assert sorted(one.valid_for(now()) > 0 for one in both) == [0, 1]
+
+    claim_fakes.run(main())
+
+
+def test_validity_counts_from_before_the_write_was_sent():
+    async def main():
+        platform = claim_fakes.Platform(latency_s=2.0)
+        one = make(platform, "a")
+        await one.receive(lease.Tick())
+        assert one.valid_for(now()) == lease.DURATION_S - 2.0
+
+    claim_fakes.run(main())
+
+
+def test_successor_waits_out_lease_and_order_timeout():
+    async def main():
+        platform = claim_fakes.Platform(latency_s=0.0)
+        old, new = make(platform, "a"), make(platform, "b")
+        await old.receive(lease.Tick())
+        await new.start()
+        await asyncio.sleep(WAIT_S - 1)
+        assert old.valid_for(now()) == 0
+        assert new.valid_for(now()) == 0
+        await asyncio.sleep(10)
+        assert new.valid_for(now()) > 0
+        assert (old.fence(), new.fence()) == (1, 2)
+        await old.receive(lease.Tick())
+        assert old.valid_for(now()) == 0
+        await new.close()
+
+    claim_fakes.run(main())
+
+
+def test_renewed_lease_is_not_taken():
+    async def main():
+        platform = claim_fakes.Platform()
+        old, new = make(platform, "a"), make(platform, "b")
+        await old.start()
+        await asyncio.sleep(1)
+        await new.start()
+        await asyncio.sleep(10 * WAIT_S)
+        assert old.valid_for(now()) > 0
+        assert new.fence() == 0
+        await old.close()
+        await new.close()
+
+    claim_fakes.run(main())
+
+
+@pytest.mark.parametrize("fault", ["lost_after", "lost_before"])
+def test_lost_answer_is_read_back(fault):
+    async def main():
+        platform = claim_fakes.Platform()
+        platform.faults = [fault]
+        one = make(platform, "a")
+        await one.receive(lease.Tick())
+        assert (one.valid_for(now()) > 0) == (fault == "lost_after")
+        await one.receive(lease.Tick())
+        assert one.valid_for(now()) > 0
+        assert one.fence() == 1
+
+    claim_fakes.run(main())
+
+
+def test_lost_renewal_does_not_lengthen_the_lease():
+    async def main():
+        platform = claim_fakes.Platform(latency_s=0.0)
+        one = make(platform, "a")
+        await one.receive(lease.Tick())
+        end_s = now() + one.valid_for(now())
+        await asyncio.sleep(5)
+        platform.faults = ["lost_before"]
+        await one.receive(lease.Tick())
+        assert now() + one.valid_for(now()) == end_s
+
+    claim_fakes.run(main())
+
+
+def test_restarted_holder_waits_for_its_own_old_lease():
+    async def main():
+        platform = claim_fakes.Platform()
+        await make(platform, "a", 1).receive(lease.Tick())
+        again = make(platform, "a", 2)
+        await again.receive(lease.Tick())
+        assert again.valid_for(now()) == 0
+        await asyncio.sleep(WAIT_S + 1)
+        await again.receive(lease.Tick())
+        assert again.fence() == 2
+
+    claim_fakes.run(main())
+
+
+def test_resigned_lease_is_free_after_the_order_timeout():
+    async def main():
+        platform = claim_fakes.Platform()
+        old, new = make(platform, "a"), make(platform, "b")
+        await old.receive(lease.Tick())
+        await old.receive(lease.Resign())
+        assert old.valid_for(now()) == 0
+        await new.receive(lease.Tick())
+        await asyncio.sleep(DRAIN_S + 0.1)
+        await new.receive(lease.Tick())
+        assert new.valid_for(now()) > 0
+
+    claim_fakes.run(main())
