--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -278,6 +278,14 @@
     key: str
 
 
+@attrs.frozen
+class KeyReused(SeamError):
+    """The idempotency key was used before with another body."""
+
+    code = "key_reused"
+    key: str
+
+
 # Refusals by policy
 
 
@@ -361,6 +369,14 @@
     outcome: str
 
 
+@attrs.frozen
+class ClaimsFull(SeamError):
+    """The object that would hold the claim has no room."""
+
+    code = "claims_full"
+    key: str
+
+
 @attrs.frozen
 class OutcomeUnknown(SeamError):
     """The order was claimed and sent, and its outcome is not known."""
@@ -369,6 +385,15 @@
     key: str
 
 
+@attrs.frozen
+class OutcomeNotKept(SeamError):
+    """The order ran once; its reply was too large to be kept."""
+
+    code = "outcome_not_kept"
+    key: str
+    status: int
+
+
 @attrs.frozen
 class Cancelled(SeamError):
     """The caller cancelled the request or went away."""
