--- /dev/null
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -0,0 +1,584 @@
+"""Ledger of one decode engine: slots, KV blocks and the queue for them.
+
+The engine's owner keeps one. Urgent asks go first; a floor keeps a share of
+the slots for the other rank under a flood of urgent work, and a reserve keeps
+slots free for urgent asks under a flood of other work (trunk reservation).
+Within a rank, workspaces share fairly. An ask that can't be met in time is
+declined before any prefill has run. A slot may be granted some time before a
+running stream is expected to end, so that prefill runs meanwhile.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import enum
+import math
+
+import attrs
+
+from seam_policy import concurrency
+from seam_policy import estimate
+from seam_policy import fair
+from seam_policy import reconcile
+
+URGENT = 0
+OTHER = 1
+_RANKS = (URGENT, OTHER)
+_RATE_WINDOW_S = 10.0
+_BURST_DEVIATIONS = 1.65
+_MIN_RATIO = 0.02
+_MAX_RATIO = 1.5
+
+
+class DeclineReason(enum.Enum):
+    """Why a slot was not granted."""
+
+    TOO_LATE = "too_late"
+    """The estimated wait is over the longest useful wait."""
+    DROPPED = "dropped"
+    """The ask waited until it could no longer be met."""
+    QUEUE_FULL = "queue_full"
+    TOO_LARGE = "too_large"
+    """The engine never has that many KV blocks."""
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen
+class LedgerLimits:
+    """Settings of one engine's ledger."""
+
+    slots: int
+    kv_blocks: int = 0
+    """KV blocks of the engine; 0 when it doesn't say."""
+    other_floor: float = 0.1
+    """Share of usable slots kept for the other rank while it waits."""
+    urgent_reserve: float = 0.15
+    """Most slots kept free of other work, as a share of usable slots."""
+    queue_limit: int = 64
+    """Waiting asks of each rank."""
+    overbook: int = 2
+    """Grants ahead of streams that are expected to end."""
+    max_lead_s: float = 0.8
+    """Longest time that a slot is granted ahead of a stream's end."""
+    min_slots: int = 2
+    per_token_target_s: float = 0.0
+    """Wanted seconds between tokens; 0 turns adaptation off."""
+    adapt_interval_s: float = 2.0
+    per_token_s: float = 0.03
+    """Seconds between tokens until there are samples."""
+    grant_slack_s: float = 30.0
+    """Time over the slowest expected end after which a grant expires."""
+    slowest_factor: float = 4.0
+    weights: Mapping[str, float] = attrs.field(factory=dict)
+    """Weights of workspaces within their rank; 1 where none is given."""
+
+
+@attrs.frozen
+class SlotAsk:
+    """Asks for a slot and KV blocks."""
+
+    request_id: bytes
+    rank: int
+    """`URGENT` or `OTHER`."""
+    workspace: str
+    wait_s: float
+    """Longest useful wait for the grant from now, in seconds."""
+    kv_blocks: int
+    tokens: int
+    """Expected output tokens."""
+    lead_s: float
+    """Time of prefill and transfer before the slot is needed."""
+
+
+@attrs.frozen
+class Granted:
+    """The ask holds a slot until it is released, cancelled or expires."""
+
+    request_id: bytes
+    delay_s: float
+    """Expected time until the slot is free; at most the ask's `lead_s`."""
+
+
+@attrs.frozen
+class Declined:
+    """The ask holds nothing and is forgotten."""
+
+    request_id: bytes
+    reason: DeclineReason
+
+
+Action = Granted | Declined
+
+
+@attrs.frozen
+class _Waiting:
+    ask: SlotAsk
+    deadline: float
+
+
+@attrs.frozen
+class _Run:
+    request_id: bytes
+    rank: int
+    workspace: str
+    kv_blocks: int
+    tokens: int
+    granted_at: float
+    starts_at: float
+    expires_at: float
+    cost: float
+
+
+class SlotLedger:
+    """Grants the slots of one engine; every ask gets exactly one answer.
+
+    Every call that may free a slot or pass a deadline returns the answers that
+    are due, for the caller to deliver in order.
+    """
+
+    def __init__(self, limits: LedgerLimits):
+        """Starts with all slots free."""
+        self.limits = limits
+        self._runs: dict[bytes, _Run] = {}
+        self._held = [0, 0]
+        self._kv_held = 0
+        self._waiting: dict[bytes, _Waiting] = {}
+        self._next_deadline = math.inf
+        self._queues = tuple(
+            fair.FairQueue[_Waiting](limits.weights) for _ in _RANKS
+        )
+        self._limit = concurrency.AdaptiveLimit(
+            limits.slots,
+            limits.min_slots,
+            limits.per_token_target_s,
+            limits.adapt_interval_s,
+        )
+        self._limit.per_token.value = limits.per_token_s
+        self._token_ratio = estimate.Ewma(1.0)
+        self._typical_tokens = estimate.Ewma(256.0)
+        self._urgent_rate = estimate.ArrivalRate(_RATE_WINDOW_S)
+        self._reports = reconcile.Reconciler()
+
+    # Views
+
+    @property
+    def usable(self) -> int:
+        """Slots that may be used now."""
+        return self._limit.usable
+
+    @property
+    def running(self) -> int:
+        """Grants that are held."""
+        return len(self._runs)
+
+    @property
+    def kv_held(self) -> int:
+        """KV blocks that grants hold."""
+        return self._kv_held
+
+    @property
+    def waiting(self) -> int:
+        """Asks that have no answer yet."""
+        return len(self._waiting)
+
+    def held_by(self, rank: int) -> int:
+        """Returns the grants that a rank holds."""
+        return self._held[rank]
+
+    def holds(self, request_id: bytes) -> bool:
+        """Tells whether a request holds a slot."""
+        return request_id in self._runs
+
+    def room(self, now: float) -> int:
+        """Returns the free slots that an urgent ask could have."""
+        if self._kv_free(now) <= 0:
+            return 0
+        free = self._slots_free(now) - len(self._queues[URGENT])
+        return max(0, free)
+
+    def wait_estimate(self, rank: int, now: float) -> float:
+        """Returns the estimated wait of an ask that comes now, in seconds."""
+        return self._wait(rank, "", 0.0, now)
+
+    # Requests
+
+    def ask(self, ask: SlotAsk, now: float) -> list[Action]:
+        """Grants, queues or declines.
+
+        An ask that is repeated while the first one waits shares its answer;
+        one that is repeated while it holds the slot is granted again.
+        """
+        if ask.request_id in self._runs:
+            return [Granted(ask.request_id, 0.0)]
+        if ask.request_id in self._waiting:
+            return self.tick(now)
+        if ask.rank == URGENT:
+            self._urgent_rate.add(now)
+        if self._is_too_large(ask):
+            return [Declined(ask.request_id, DeclineReason.TOO_LARGE)]
+        actions = self.tick(now)
+        if self._can_not_wait(ask, now):
+            actions.append(Declined(ask.request_id, DeclineReason.TOO_LATE))
+            return actions
+        self._enqueue(ask, now)
+        self._pump(now, actions)
+        self._shed(ask.rank, actions)
+        return actions
+
+    def release(
+        self,
+        request_id: bytes,
+        tokens: int,
+        per_token_s: float,
+        failed: bool,
+        now: float,
+    ) -> list[Action]:
+        """Takes a slot back.
+
+        Args:
+            request_id: the grant; one that is not held is ignored.
+            tokens: output tokens that came.
+            per_token_s: mean seconds between them; 0 when not known.
+            failed: whether the run broke, so that it tells nothing.
+            now: monotonic seconds.
+        """
+        run = self._runs.get(request_id)
+        if run is not None:
+            if not failed:
+                self._learn(run, tokens, per_token_s, now)
+            self._remove(run, now)
+            self._queues[run.rank].charge(run.workspace, tokens - run.cost)
+        return self.tick(now)
+
+    def cancel(self, request_id: bytes, now: float) -> list[Action]:
+        """Forgets an ask that waits, or takes its slot back."""
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            self._dequeue(waiting)
+            cancelled = Declined(request_id, DeclineReason.CANCELLED)
+            return [cancelled, *self.tick(now)]
+        run = self._runs.get(request_id)
+        if run is not None:
+            self._remove(run, now)
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Expires grants, drops late asks and grants what is free."""
+        actions: list[Action] = []
+        self._expire(now)
+        self._pump(now, actions)
+        return actions
+
+    # What the engine shows
+
+    def adopt(
+        self, request_id: bytes, rank: int, kv_blocks: int, now: float
+    ) -> list[Action]:
+        """Records a stream that runs already, over the limits if need be."""
+        if request_id in self._runs:
+            return []
+        actions: list[Action] = []
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            self._dequeue(waiting)
+            actions.append(Granted(request_id, 0.0))
+        ratio = max(_MIN_RATIO, self._token_ratio.value)
+        tokens = max(1, round(self._typical_tokens.value / ratio))
+        self._hold(request_id, rank, "", kv_blocks, tokens, 0.0, 0.0, now)
+        return actions
+
+    def observe(
+        self,
+        running: int,
+        kv_free: int,
+        now: float,
+        age_s: float = 0.0,
+        streams: Collection[bytes] | None = None,
+    ) -> list[Action]:
+        """Reconciles with an engine's load report, which lags.
+
+        Grants that the engine lacks for long are taken back; streams that the
+        engine has and the ledger lacks count as used slots.
+
+        Args:
+            running: streams that the engine held.
+            kv_free: its free KV blocks.
+            now: monotonic seconds.
+            age_s: age of the report.
+            streams: request ids that the engine held, when it lists them.
+        """
+        starts = {key: run.starts_at for key, run in self._runs.items()}
+        lost = self._reports.lost(running, starts, now, age_s, streams)
+        for request_id in lost:
+            self._remove(self._runs[request_id], now)
+        self._reports.count_foreign(
+            running,
+            max(0, self.limits.kv_blocks - kv_free),
+            len(self._runs),
+            self._kv_held,
+            now,
+        )
+        return self.tick(now)
+
+    # Capacity
+
+    def _slots_free(self, now: float) -> int:
+        foreign = self._reports.foreign_slots(now)
+        return self.usable - len(self._runs) - foreign
+
+    def _kv_free(self, now: float) -> float:
+        if self.limits.kv_blocks <= 0:
+            return math.inf
+        foreign = self._reports.foreign_kv(now)
+        return self.limits.kv_blocks - self._kv_held - foreign
+
+    def _is_too_large(self, ask: SlotAsk) -> bool:
+        blocks = self.limits.kv_blocks
+        return 0 < blocks < ask.kv_blocks
+
+    def _floor_slots(self) -> int:
+        share = self.limits.other_floor
+        if share <= 0:
+            return 0
+        return max(1, int(self.usable * share))
+
+    def _reserve_slots(self, now: float) -> int:
+        most = math.ceil(self.usable * self.limits.urgent_reserve)
+        if most <= 0:
+            return 0
+        turnover_s = self._hold_s() / max(1, self.usable)
+        arrivals = self._urgent_rate.rate(now) * turnover_s
+        burst = arrivals + _BURST_DEVIATIONS * math.sqrt(arrivals)
+        return min(most, max(1, math.ceil(burst)))
+
+    def _headroom(self, rank: int, now: float) -> int:
+        if rank == URGENT or self._held[OTHER] < self._floor_slots():
+            return 0
+        return self._reserve_slots(now)
+
+    # Expected ends
+
+    def _stream_s(self, tokens: float, spreads: float = 0.0) -> float:
+        ratio = self._token_ratio.high(spreads)
+        ratio = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
+        return tokens * ratio * self._limit.per_token.value
+
+    def _hold_s(self) -> float:
+        mean = self._typical_tokens.value * self._limit.per_token.value
+        return max(0.01, mean)
+
+    def _sure_ends(self, now: float) -> list[tuple[float, int]]:
+        """Returns late ends and KV blocks of streams not yet overdue."""
+        ends = []
+        for run in self._runs.values():
+            end = run.starts_at + self._stream_s(run.tokens, spreads=1.0)
+            if run.starts_at <= now <= end:
+                ends.append((end, run.kv_blocks))
+        ends.sort()
+        return ends
+
+    def _mean_ends(self, now: float) -> list[float]:
+        """Returns how long each grant is expected to be held from now."""
+        hold_s = self._hold_s()
+        lefts = []
+        for run in self._runs.values():
+            left = run.starts_at + self._stream_s(run.tokens) - now
+            lefts.append(left if left > 0 else hold_s / 2)
+        lefts.sort()
+        return lefts
+
+    def _delay(self, ask: SlotAsk, headroom: int, now: float) -> float | None:
+        """Returns when the ask's slot is free, or None if too late to grant."""
+        slots_free = self._slots_free(now) - headroom
+        kv_free = self._kv_free(now)
+        if slots_free >= 1 and kv_free >= ask.kv_blocks:
+            return 0.0
+        if slots_free + self.limits.overbook < 1:
+            return None
+        horizon = now + min(ask.lead_s, self.limits.max_lead_s)
+        for ahead, (end, blocks) in enumerate(self._sure_ends(now), start=1):
+            if end > horizon or ahead > self.limits.overbook:
+                return None
+            slots_free += 1
+            kv_free += blocks
+            if slots_free >= 1 and kv_free >= ask.kv_blocks:
+                return end - now
+        return None
+
+    # Estimated wait
+
+    def _wait(
+        self, rank: int, workspace: str, lead_s: float, now: float
+    ) -> float:
+        ahead = self._queues[rank].ahead_of(workspace)
+        if rank == URGENT:
+            return self._wait_behind(ahead, 0, lead_s, now)
+        headroom = self._headroom(rank, now)
+        everyone = ahead + len(self._queues[URGENT])
+        wait = self._wait_behind(everyone, headroom, lead_s, now)
+        return min(wait, self._wait_for_floor(ahead))
+
+    def _wait_behind(
+        self, ahead: int, headroom: int, lead_s: float, now: float
+    ) -> float:
+        short = ahead + 1 + headroom - self._slots_free(now)
+        if short <= 0:
+            return 0.0
+        lead_s = min(lead_s, self.limits.max_lead_s)
+        lefts = self._mean_ends(now)
+        if not lefts:
+            return max(0.0, self._hold_s() * short / max(1, self.usable))
+        rounds, index = divmod(short - 1, len(lefts))
+        wait = lefts[index] + rounds * self._hold_s()
+        return max(0.0, wait - lead_s)
+
+    def _wait_for_floor(self, ahead: int) -> float:
+        floor = self._floor_slots()
+        if floor == 0:
+            return math.inf
+        turn_s = self._hold_s() / floor
+        if self._held[OTHER] < floor:
+            return ahead * turn_s + self._hold_s() / max(1, self.usable)
+        return (ahead + 1) * turn_s
+
+    def _can_not_wait(self, ask: SlotAsk, now: float) -> bool:
+        if ask.wait_s < 0:
+            return True
+        wait = self._wait(ask.rank, ask.workspace, ask.lead_s, now)
+        return wait > ask.wait_s
+
+    # Queue
+
+    def _enqueue(self, ask: SlotAsk, now: float) -> None:
+        waiting = _Waiting(ask, now + ask.wait_s)
+        self._waiting[ask.request_id] = waiting
+        self._next_deadline = min(self._next_deadline, waiting.deadline)
+        queue = self._queues[ask.rank]
+        queue.push(ask.workspace, ask.request_id, waiting)
+
+    def _dequeue(self, waiting: _Waiting) -> None:
+        ask = waiting.ask
+        del self._waiting[ask.request_id]
+        self._queues[ask.rank].remove(ask.workspace, ask.request_id)
+
+    def _shed(self, rank: int, actions: list[Action]) -> None:
+        queue = self._queues[rank]
+        while len(queue) > self.limits.queue_limit:
+            waiting = queue.last_of(queue.longest())
+            self._dequeue(waiting)
+            request_id = waiting.ask.request_id
+            actions.append(Declined(request_id, DeclineReason.QUEUE_FULL))
+
+    def _drop_late(self, now: float, actions: list[Action]) -> None:
+        if now <= self._next_deadline:
+            return
+        late = [
+            waiting
+            for waiting in self._waiting.values()
+            if waiting.deadline < now
+        ]
+        self._next_deadline = min(
+            (
+                waiting.deadline
+                for waiting in self._waiting.values()
+                if waiting.deadline >= now
+            ),
+            default=math.inf,
+        )
+        for waiting in late:
+            self._dequeue(waiting)
+            request_id = waiting.ask.request_id
+            actions.append(Declined(request_id, DeclineReason.DROPPED))
+
+    def _pump(self, now: float, actions: list[Action]) -> None:
+        """Drops late asks and grants heads while they fit."""
+        self._drop_late(now, actions)
+        while self._waiting:
+            granted = self._grant_next(now)
+            if granted is None:
+                return
+            actions.append(granted)
+
+    def _grant_next(self, now: float) -> Granted | None:
+        for rank in self._order():
+            head = self._queues[rank].head()
+            if head is None:
+                continue
+            delay_s = self._delay(head.ask, self._headroom(rank, now), now)
+            # A smaller ask behind the head must not overtake it for ever.
+            return None if delay_s is None else self._grant(head, delay_s, now)
+        return None
+
+    def _order(self) -> tuple[int, ...]:
+        if self._held[OTHER] < self._floor_slots():
+            return (OTHER, URGENT)
+        return _RANKS
+
+    def _grant(self, head: _Waiting, delay_s: float, now: float) -> Granted:
+        ask = head.ask
+        queue = self._queues[ask.rank]
+        queue.serve(ask.workspace, ask.tokens)
+        self._dequeue(head)
+        self._hold(
+            ask.request_id,
+            ask.rank,
+            ask.workspace,
+            ask.kv_blocks,
+            ask.tokens,
+            max(delay_s, ask.lead_s),
+            float(ask.tokens),
+            now,
+        )
+        return Granted(ask.request_id, delay_s)
+
+    # Grants
+
+    def _hold(
+        self,
+        request_id: bytes,
+        rank: int,
+        workspace: str,
+        kv_blocks: int,
+        tokens: int,
+        start_s: float,
+        cost: float,
+        now: float,
+    ) -> None:
+        slowest_s = tokens * self._limit.per_token.value
+        slowest_s *= self.limits.slowest_factor
+        starts_at = now + start_s
+        self._runs[request_id] = _Run(
+            request_id=request_id,
+            rank=rank,
+            workspace=workspace,
+            kv_blocks=kv_blocks,
+            tokens=tokens,
+            granted_at=now,
+            starts_at=starts_at,
+            expires_at=starts_at + slowest_s + self.limits.grant_slack_s,
+            cost=cost,
+        )
+        self._held[rank] += 1
+        self._kv_held += kv_blocks
+
+    def _remove(self, run: _Run, now: float) -> None:
+        del self._runs[run.request_id]
+        self._held[run.rank] -= 1
+        self._kv_held -= run.kv_blocks
+        if run.starts_at <= now:
+            self._reports.note_end(run.kv_blocks, now)
+
+    def _expire(self, now: float) -> None:
+        expired = [run for run in self._runs.values() if run.expires_at < now]
+        for run in expired:
+            self._remove(run, now)
+
+    def _learn(
+        self, run: _Run, tokens: int, per_token_s: float, now: float
+    ) -> None:
+        in_use = len(self._runs)
+        self._limit.add(per_token_s, in_use, now)
+        if tokens <= 0:
+            return
+        self._typical_tokens.add(float(tokens))
+        if run.cost > 0:
+            self._token_ratio.add(tokens / run.cost)
--- /dev/null
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -0,0 +1,309 @@
+"""Order in which decode engines are tried, and choice of a prefill engine."""
+
+import abc
+from collections.abc import Iterable
+from collections.abc import Sequence
+import hashlib
+import math
+
+import attrs
+
+_HASH_RANGE = 1 << 64
+_ROOM_HALF_LIFE_S = 1.0
+_LEAST_WEIGHT = 0.05
+_STALE_REPORT_S = 30.0
+
+
+@attrs.frozen
+class DecodeCandidate:
+    """What an instance knows of one decode engine."""
+
+    name: str
+    data_centre: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...] = ()
+    slots: int = 20
+    room: int = 0
+    """Free slots that the owner last told of."""
+    room_age_s: float = math.inf
+    wait_s: float = 0.0
+    """Wait for an urgent slot that the owner last told of."""
+    running: int = 0
+    """Streams by the engine's lagging load report."""
+    report_age_s: float = math.inf
+    prefix_tokens: int = 0
+    """Prompt tokens that the engine holds already."""
+    transfer_bytes_s: float = 1e9
+    """Rate of a transfer to the engine, at its current use."""
+    link_s: float = 0.0
+    """One-way latency to the engine."""
+    leaving: bool = False
+    silent: bool = False
+
+
+@attrs.frozen
+class DecodeNeed:
+    """What a request needs of a decode engine."""
+
+    request_id: bytes
+    model: str
+    prompt_tokens: int
+    data_centre: str
+    """Where the asking instance is."""
+    adapter: str = ""
+    kv_bytes_per_token: int = 0
+
+
+def is_eligible(need: DecodeNeed, candidate: DecodeCandidate) -> bool:
+    """Tells whether an engine may take new work of this kind."""
+    if candidate.leaving or candidate.silent:
+        return False
+    if need.model not in candidate.models:
+        return False
+    return not need.adapter or need.adapter in candidate.adapters
+
+
+def uniform(seed: int, *parts: bytes) -> float:
+    """Returns a number in (0, 1) that depends on the arguments only."""
+    state = hashlib.blake2b(seed.to_bytes(8, "big"), digest_size=8)
+    for part in parts:
+        state.update(len(part).to_bytes(4, "big"))
+        state.update(part)
+    value = int.from_bytes(state.digest(), "big")
+    return (value + 0.5) / (_HASH_RANGE + 1)
+
+
+class Placement(abc.ABC):
+    """Orders the decode engines that a request should be tried at."""
+
+    reserves: bool
+    """Whether a slot is reserved at the engine's owner first."""
+
+    def order(
+        self,
+        need: DecodeNeed,
+        candidates: Iterable[DecodeCandidate],
+        seed: int,
+    ) -> tuple[DecodeCandidate, ...]:
+        """Returns the eligible candidates, the first to try first."""
+        eligible = [each for each in candidates if is_eligible(need, each)]
+        eligible.sort(key=lambda each: each.name)
+        return tuple(self._order(need, eligible, seed)) if eligible else ()
+
+    @abc.abstractmethod
+    def _order(
+        self,
+        need: DecodeNeed,
+        candidates: list[DecodeCandidate],
+        seed: int,
+    ) -> Sequence[DecodeCandidate]:
+        """Orders eligible candidates, which come sorted by name."""
+
+
+class RoundRobin(Placement):
+    """Takes engines in turn, without reservation; a baseline."""
+
+    reserves = False
+
+    def __init__(self):
+        """Starts at the first engine."""
+        self._turn = 0
+
+    def _order(
+        self,
+        need: DecodeNeed,
+        candidates: list[DecodeCandidate],
+        seed: int,
+    ) -> Sequence[DecodeCandidate]:
+        del need, seed
+        start = self._turn % len(candidates)
+        self._turn += 1
+        return candidates[start:] + candidates[:start]
+
+
+class LeastLoaded(Placement):
+    """Takes the least loaded by lagging load reports; a baseline."""
+
+    reserves = False
+
+    def _order(
+        self,
+        need: DecodeNeed,
+        candidates: list[DecodeCandidate],
+        seed: int,
+    ) -> Sequence[DecodeCandidate]:
+        def load(candidate: DecodeCandidate) -> tuple[float, float]:
+            share = candidate.running / max(1, candidate.slots)
+            if candidate.report_age_s > _STALE_REPORT_S:
+                share = 1.0
+            name = candidate.name.encode()
+            return share, uniform(seed, need.request_id, name)
+
+        return sorted(candidates, key=load)
+
+
+class Product(Placement):
+    """Takes the cheaper of two engines drawn by advertised room.
+
+    Two random choices (Mitzenmacher, 2001) keep instances that hold the same
+    old hints from all asking the same owner. Engines of the asking instance's
+    data centre are drawn from first while one of them has room.
+    """
+
+    reserves = True
+
+    def __init__(self, prefill_tokens_s: float = 8000.0):
+        """Takes the prefill rate that a prefix match saves at."""
+        self._prefill_tokens_s = prefill_tokens_s
+
+    def cost_s(self, need: DecodeNeed, candidate: DecodeCandidate) -> float:
+        """Returns the expected delay that a candidate adds, in seconds."""
+        cached = min(candidate.prefix_tokens, need.prompt_tokens)
+        moved = (need.prompt_tokens - cached) * need.kv_bytes_per_token
+        transfer_s = moved / max(1.0, candidate.transfer_bytes_s)
+        saved_s = cached / max(1.0, self._prefill_tokens_s)
+        wait_s = candidate.wait_s if candidate.room <= 0 else 0.0
+        wait_s *= _freshness(candidate.room_age_s)
+        return wait_s + transfer_s + 2 * candidate.link_s - saved_s
+
+    def _order(
+        self,
+        need: DecodeNeed,
+        candidates: list[DecodeCandidate],
+        seed: int,
+    ) -> Sequence[DecodeCandidate]:
+        drawn = sorted(candidates, key=lambda each: _draw(need, each, seed))
+        ordered: list[DecodeCandidate] = []
+        for start in range(0, len(drawn), 2):
+            pair = drawn[start : start + 2]
+            pair.sort(key=lambda each: (self.cost_s(need, each), each.name))
+            ordered.extend(pair)
+        return ordered
+
+
+def _freshness(age_s: float) -> float:
+    """Returns how far a hint of this age counts, in [0, 1]."""
+    return 0.5 ** (max(0.0, age_s) / _ROOM_HALF_LIFE_S)
+
+
+def _draw(
+    need: DecodeNeed, candidate: DecodeCandidate, seed: int
+) -> tuple[bool, float]:
+    """Returns a key by which candidates are drawn without replacement.
+
+    Weighted sampling after Efraimidis and Spirakis (2006): an exponential
+    variate over the weight, the smallest first.
+    """
+    fresh = _freshness(candidate.room_age_s)
+    advertised = candidate.room / max(1, candidate.slots)
+    # An old hint tells little, so its engine counts as half free.
+    room = fresh * advertised + (1.0 - fresh) * 0.5
+    far = candidate.data_centre != need.data_centre or room <= _LEAST_WEIGHT
+    weight = max(_LEAST_WEIGHT, room)
+    draw = uniform(seed, need.request_id, candidate.name.encode())
+    return far, -math.log(draw) / weight
+
+
+# Prefill
+
+
+@attrs.frozen
+class PrefillCandidate:
+    """What an instance knows of one prefill engine."""
+
+    name: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...] = ()
+    prefix_tokens: int = 0
+    """Prompt tokens in its cache, approximately."""
+    backlog_tokens: int = 0
+    tokens_s: float = 8000.0
+    """Prefill rate."""
+    link_bytes_s: float = 1e9
+    """Rate of the link to the chosen decode engine."""
+    link_transfers: int = 0
+    """Transfers that share the link now."""
+    link_s: float = 0.0
+    """One-way latency to the chosen decode engine."""
+    kv_life_s: float = 0.8
+    leaving: bool = False
+    silent: bool = False
+
+
+@attrs.frozen
+class PrefillNeed:
+    """What a request needs of a prefill engine."""
+
+    request_id: bytes
+    model: str
+    prompt_tokens: int
+    kv_bytes_per_token: int
+    adapter: str = ""
+    decode_prefix_tokens: int = 0
+    """Tokens that the decode engine holds, which need no transfer."""
+
+
+@attrs.frozen
+class PrefillChoice:
+    """A prefill engine and the times expected there, in seconds."""
+
+    name: str
+    prefill_s: float
+    transfer_s: float
+
+    @property
+    def lead_s(self) -> float:
+        """Time from the order until decode can start."""
+        return self.prefill_s + self.transfer_s
+
+
+KV_LIFE_SHARE = 0.7
+"""Share of the KV's life that a transfer may be expected to take."""
+
+
+def transfer_time(need: PrefillNeed, candidate: PrefillCandidate) -> float:
+    """Returns the expected seconds to move the KV, the link being shared."""
+    tokens = max(0, need.prompt_tokens - need.decode_prefix_tokens)
+    sharers = 1 + max(0, candidate.link_transfers)
+    rate = max(1.0, candidate.link_bytes_s / sharers)
+    return candidate.link_s + tokens * need.kv_bytes_per_token / rate
+
+
+def prefill_time(need: PrefillNeed, candidate: PrefillCandidate) -> float:
+    """Returns the expected seconds until the prefill has ended."""
+    uncached = max(1, need.prompt_tokens - candidate.prefix_tokens)
+    work = uncached + max(0, candidate.backlog_tokens)
+    return work / max(1.0, candidate.tokens_s)
+
+
+def choose_prefill(
+    need: PrefillNeed,
+    candidates: Iterable[PrefillCandidate],
+    seed: int,
+) -> tuple[PrefillChoice, ...]:
+    """Returns the usable prefill engines, earliest decode start first.
+
+    Engines whose link can't carry the KV within its life are left out, since
+    their prefill would be thrown away.
+    """
+    found = []
+    for candidate in candidates:
+        if not _may_prefill(need, candidate):
+            continue
+        transfer_s = transfer_time(need, candidate)
+        if transfer_s > candidate.kv_life_s * KV_LIFE_SHARE:
+            continue
+        prefill_s = prefill_time(need, candidate)
+        choice = PrefillChoice(candidate.name, prefill_s, transfer_s)
+        tie = uniform(seed, need.request_id, candidate.name.encode())
+        found.append((choice.lead_s, tie, choice))
+    found.sort(key=lambda entry: entry[:2])
+    return tuple(entry[2] for entry in found)
+
+
+def _may_prefill(need: PrefillNeed, candidate: PrefillCandidate) -> bool:
+    if candidate.leaving or candidate.silent:
+        return False
+    if need.model not in candidate.models:
+        return False
+    return not need.adapter or need.adapter in candidate.adapters
