--- a/packages/seam_policy/seam_policy/placement.py
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -3,11 +3,15 @@
 import abc
 from collections.abc import Iterable
 from collections.abc import Sequence
-import hashlib
+import heapq
 import math
 
 import attrs
 
+from seam_policy import rendezvous
+
+MAX_TRIES = 6
+"""Most engines that `Product` returns for one request."""
 _HASH_RANGE = 1 << 64
 _ROOM_HALF_LIFE_S = 1.0
 _LEAST_WEIGHT = 0.05
@@ -63,14 +67,18 @@
     return not need.adapter or need.adapter in candidate.adapters
 
 
-def uniform(seed: int, *parts: bytes) -> float:
+def uniform(seed: int, key: bytes, name: str) -> float:
     """Returns a number in (0, 1) that depends on the arguments only."""
-    state = hashlib.blake2b(seed.to_bytes(8, "big"), digest_size=8)
-    for part in parts:
-        state.update(len(part).to_bytes(4, "big"))
-        state.update(part)
-    value = int.from_bytes(state.digest(), "big")
-    return (value + 0.5) / (_HASH_RANGE + 1)
+    return _unit(_request_hash(seed, key), name)
+
+
+def _request_hash(seed: int, key: bytes) -> int:
+    return rendezvous.stable_hash(seed.to_bytes(8, "big") + key)
+
+
+def _unit(request_hash: int, name: str) -> float:
+    mixed = rendezvous.mix(request_hash ^ rendezvous.name_hash(name))
+    return (mixed + 0.5) / _HASH_RANGE
 
 
 class Placement(abc.ABC):
@@ -132,12 +140,13 @@
         candidates: list[DecodeCandidate],
         seed: int,
     ) -> Sequence[DecodeCandidate]:
+        request_hash = _request_hash(seed, need.request_id)
+
         def load(candidate: DecodeCandidate) -> tuple[float, float]:
             share = candidate.running / max(1, candidate.slots)
             if candidate.report_age_s > _STALE_REPORT_S:
                 share = 1.0
-            name = candidate.name.encode()
-            return share, uniform(seed, need.request_id, name)
+            return share, _unit(request_hash, candidate.name)
 
         return sorted(candidates, key=load)
 
@@ -172,11 +181,17 @@
         candidates: list[DecodeCandidate],
         seed: int,
     ) -> Sequence[DecodeCandidate]:
-        drawn = sorted(candidates, key=lambda each: _draw(need, each, seed))
+        request_hash = _request_hash(seed, need.request_id)
+        drawn = heapq.nsmallest(
+            MAX_TRIES,
+            candidates,
+            key=lambda each: _draw(need, each, request_hash),
+        )
         ordered: list[DecodeCandidate] = []
         for start in range(0, len(drawn), 2):
             pair = drawn[start : start + 2]
-            pair.sort(key=lambda each: (self.cost_s(need, each), each.name))
+            # The sort is stable: equal costs keep the order of the draw.
+            pair.sort(key=lambda each: self.cost_s(need, each))
             ordered.extend(pair)
         return ordered
 
@@ -187,7 +202,7 @@
 
 
 def _draw(
-    need: DecodeNeed, candidate: DecodeCandidate, seed: int
+    need: DecodeNeed, candidate: DecodeCandidate, request_hash: int
 ) -> tuple[bool, float]:
     """Returns a key by which candidates are drawn without replacement.
 
@@ -200,7 +215,7 @@
     room = fresh * advertised + (1.0 - fresh) * 0.5
     far = candidate.data_centre != need.data_centre or room <= _LEAST_WEIGHT
     weight = max(_LEAST_WEIGHT, room)
-    draw = uniform(seed, need.request_id, candidate.name.encode())
+    draw = _unit(request_hash, candidate.name)
     return far, -math.log(draw) / weight
 
 
@@ -286,6 +301,7 @@
     Engines whose link can't carry the KV within its life are left out, since
     their prefill would be thrown away.
     """
+    request_hash = _request_hash(seed, need.request_id)
     found = []
     for candidate in candidates:
         if not _may_prefill(need, candidate):
@@ -295,7 +311,7 @@
             continue
         prefill_s = prefill_time(need, candidate)
         choice = PrefillChoice(candidate.name, prefill_s, transfer_s)
-        tie = uniform(seed, need.request_id, candidate.name.encode())
+        tie = _unit(request_hash, candidate.name)
         found.append((choice.lead_s, tie, choice))
     found.sort(key=lambda entry: entry[:2])
     return tuple(entry[2] for entry in found)
--- a/tests/seam_policy/test_ledger.py
+++ b/tests/seam_policy/test_ledger.py
@@ -182,14 +182,15 @@
     limits = ledger.LedgerLimits(slots=10, per_token_target_s=0.05, min_slots=3)
     book = ledger.SlotLedger(limits)
     now, number = 0.0, 0
-    seen = []
+    seen, granted = [], []
     for per_token_s, rounds in ((0.2, 60), (0.01, 80)):
         for _ in range(rounds):
             now += 3.0
             while book.room(now) > 0:
                 number += 1
                 book.ask(_ask(number), now)
-            oldest = next(iter(book._runs))
+                granted.append(_ask(number).request_id)
+            oldest = next(key for key in granted if book.holds(key))
             book.release(oldest, 100, per_token_s, False, now)
         seen.append(book.usable)
     assert seen == [3, 10]
