--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -26,6 +26,7 @@
 _RATE_WINDOW_S = 10.0
 _BURST_DEVIATIONS = 1.65
 _MIN_RATIO = 0.02
+_MIN_SAMPLES = 10
 _MAX_RATIO = 1.5
 
 
@@ -125,7 +126,7 @@
     granted_at: float
     starts_at: float
     expires_at: float
-    cost: float
+    adopted: bool
 
 
 class SlotLedger:
@@ -246,7 +247,9 @@
             if not failed:
                 self._learn(run, tokens, per_token_s, now)
             self._remove(run, now)
-            self._queues[run.rank].charge(run.workspace, tokens - run.cost)
+            if not run.adopted:
+                extra = tokens - run.tokens
+                self._queues[run.rank].charge(run.workspace, extra)
         return self.tick(now)
 
     def cancel(self, request_id: bytes, now: float) -> list[Action]:
@@ -283,7 +286,7 @@
             actions.append(Granted(request_id, 0.0))
         ratio = max(_MIN_RATIO, self._token_ratio.value)
         tokens = max(1, round(self._typical_tokens.value / ratio))
-        self._hold(request_id, rank, "", kv_blocks, tokens, 0.0, 0.0, now)
+        self._hold(request_id, rank, "", kv_blocks, tokens, 0.0, True, now)
         return actions
 
     def observe(
@@ -366,10 +369,22 @@
         mean = self._typical_tokens.value * self._limit.per_token.value
         return max(0.01, mean)
 
+    def _is_predictable(self) -> bool:
+        """Tells whether streams end close enough to when they should."""
+        if self._token_ratio.samples < _MIN_SAMPLES:
+            return False
+        spread_tokens = self._token_ratio.spread * self._typical_tokens.value
+        spread_s = spread_tokens * self._limit.per_token.value
+        return spread_s <= self.limits.max_lead_s
+
     def _sure_ends(self, now: float) -> list[tuple[float, int]]:
         """Returns late ends and KV blocks of streams not yet overdue."""
+        if not self._is_predictable():
+            return []
         ends = []
         for run in self._runs.values():
+            if run.adopted:
+                continue
             end = run.starts_at + self._stream_s(run.tokens, spreads=1.0)
             if run.starts_at <= now <= end:
                 ends.append((end, run.kv_blocks))
@@ -525,7 +540,7 @@
             ask.kv_blocks,
             ask.tokens,
             max(delay_s, ask.lead_s),
-            float(ask.tokens),
+            False,
             now,
         )
         return Granted(ask.request_id, delay_s)
@@ -540,7 +555,7 @@
         kv_blocks: int,
         tokens: int,
         start_s: float,
-        cost: float,
+        adopted: bool,
         now: float,
     ) -> None:
         slowest_s = tokens * self._limit.per_token.value
@@ -555,7 +570,7 @@
             granted_at=now,
             starts_at=starts_at,
             expires_at=starts_at + slowest_s + self.limits.grant_slack_s,
-            cost=cost,
+            adopted=adopted,
         )
         self._held[rank] += 1
         self._kv_held += kv_blocks
@@ -580,5 +595,5 @@
         if tokens <= 0:
             return
         self._typical_tokens.add(float(tokens))
-        if run.cost > 0:
-            self._token_ratio.add(tokens / run.cost)
+        if not run.adopted and run.tokens > 0:
+            self._token_ratio.add(tokens / run.tokens)
