Add authenticated peer links over TCP

A link that owes an answer and stays mute is pinged, then closed and replaced at the next send: a connection whose state was lost between the ends never reports an error of its own. Frames after the handshake carry no MAC of their own.

--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/peer_stream.py
@@ -0,0 +1,67 @@
+"""Msgpack frames over a tornado stream, written once per loop tick."""
+
+import asyncio
+import collections
+from typing import Any
+
+import msgpack
+from tornado import iostream
+
+READ_BYTES = 65536
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+
+
+class FrameStream:
+    """Reads and writes msgpack values on one connection."""
+
+    def __init__(self, stream: iostream.IOStream):
+        """Wraps a connected stream."""
+        self.stream = stream
+        self.stream.max_write_buffer_size = MAX_UNSENT_BYTES
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_FRAME_BYTES, use_list=True, raw=False
+        )
+        self._ready: collections.deque[Any] = collections.deque()
+        self._unsent = bytearray()
+
+    async def read(self) -> Any:
+        """Returns the next value.
+
+        Raises:
+          iostream.StreamClosedError: The connection ended.
+          ValueError: The bytes are not msgpack or a frame is too large.
+        """
+        while not self._ready:
+            data = await self.stream.read_bytes(READ_BYTES, partial=True)
+            self._feed(data)
+        return self._ready.popleft()
+
+    def write(self, value: Any) -> None:
+        """Queues a value for the write at the end of this loop tick."""
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent += msgpack.packb(value, use_bin_type=True)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._unsent.clear()
+        self.stream.close()
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._unpacker.feed(data)
+            self._ready.extend(self._unpacker)
+        except msgpack.UnpackException as exc:
+            raise ValueError(str(exc)) from exc
+
+    def _flush(self) -> None:
+        data, self._unsent = bytes(self._unsent), bytearray()
+        if not data or self.stream.closed():
+            return
+        try:
+            self.stream.write(data)
+        except iostream.StreamClosedError:
+            return
+        except iostream.StreamBufferFullError:
+            self.stream.close()
--- /dev/null
+++ b/packages/seam_node/seam_node/adapters/peer_tcp.py
@@ -0,0 +1,248 @@
+"""Authenticated links between instances over TCP.
+
+The instance that asks opens the link; answers come back on it. A frame is a
+msgpack array of a correlation id and a message row (see `seam_model.codec`);
+an empty array is a ping and is sent back.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import expression
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpserver
+
+from seam_model import codec
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.adapters import peer_auth
+from seam_node.adapters import peer_link
+from seam_node.adapters import peer_stream
+from seam_node.ports import peer as peer_port
+
+HANDSHAKE_TIMEOUT_S = 2.0
+ACCEPTED_IDLE_LIMIT_S = 60.0
+
+Refused = Callable[[errors.PeerUnauthenticated], None]
+
+
+class _Server(tcpserver.TCPServer):
+    def __init__(self, accept: Callable[[iostream.IOStream], Any]):
+        super().__init__()
+        self._accept = accept
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: Any
+    ) -> None:
+        await self._accept(stream)
+
+
+class TcpPeerNetwork(peer_port.PeerNetwork):
+    """Links of one instance; `port` 0 picks a free port."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        host: str,
+        port: int,
+        key: bytes,
+        refused: Refused = lambda error: None,
+        failed: Callable[[str, Exception], None] = lambda peer, exc: None,
+        silence_s: float = peer_link.SILENCE_LIMIT_S,
+    ):
+        """Sets own name, listening address and the key all peers share.
+
+        `refused` is told of strangers, `failed` of handlers that raised.
+        """
+        if not key:
+            raise ValueError("the peer key is empty")
+        self._own = peer_auth.Hello(name, incarnation, b"")
+        self._host = host
+        self._port = port
+        self._key = key
+        self._refused = refused
+        self._failed = failed
+        self._silence_s = silence_s
+        self._handlers: dict[type, peer_port.Handler] = {}
+        self._links: dict[str, peer_link.PeerLink] = {}
+        self._server: _Server | None = None
+        self._accepted: set[peer_stream.FrameStream] = set()
+        self._running: set[asyncio.Task] = set()
+
+    def handle(self, message_type: type, handler: peer_port.Handler) -> None:
+        """Registers the handler of one message type; once, before start."""
+        if message_type in self._handlers:
+            raise ValueError(f"{message_type.__name__} has a handler")
+        self._handlers[message_type] = handler
+
+    async def start(self) -> None:
+        """Starts listening."""
+        self._server = _Server(self._accept)
+        sockets = netutil.bind_sockets(self._port, self._host)
+        self._server.add_sockets(sockets)
+        self._port = sockets[0].getsockname()[1]
+
+    def bound_port(self) -> int:
+        """Returns the port that is listened on."""
+        return self._port
+
+    async def close(self) -> None:
+        """Closes every link."""
+        if self._server is not None:
+            self._server.stop()
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+        for frames in tuple(self._accepted):
+            frames.close()
+        running = tuple(self._running)
+        for runner in running:
+            runner.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def set_peers(self, records: Iterable[endpoints.InstanceRecord]) -> None:
+        """Sets whom links may be opened to."""
+        wanted = {record.name: record for record in records}
+        wanted.pop(self._own.name, None)
+        for name, link in tuple(self._links.items()):
+            record = wanted.get(name)
+            if record is None or _address(record) != _address(link.record):
+                link.close()
+                del self._links[name]
+        for name, record in wanted.items():
+            if name not in self._links:
+                self._links[name] = peer_link.PeerLink(
+                    self._own, record, self._key, self._refused, self._silence_s
+                )
+
+    async def request(
+        self, peer: str, message: Any, timeout_s: float
+    ) -> expression.Result[Any, errors.PeerError]:
+        """Sends a message and waits for its answer."""
+        if peer == self._own.name:
+            return await self._request_here(message, timeout_s)
+        link = self._links.get(peer)
+        if link is None:
+            return expression.Error(errors.PeerUnreachable(peer))
+        return await link.request(message, timeout_s)
+
+    def notify(self, peer: str, message: Any) -> None:
+        """Sends a message without an answer; it may be lost."""
+        if peer == self._own.name:
+            self._spawn(self._call(peer, message))
+            return
+        link = self._links.get(peer)
+        if link is not None:
+            link.notify(message)
+
+    # Handling
+
+    async def _request_here(
+        self, message: Any, timeout_s: float
+    ) -> expression.Result[Any, errors.PeerError]:
+        runner = self._spawn(self._call(self._own.name, message))
+        done, _ = await asyncio.wait((runner,), timeout=timeout_s)
+        if not done or runner.cancelled() or runner.result() is None:
+            return expression.Error(errors.PeerTimeout(self._own.name))
+        return expression.Ok(runner.result()[0])
+
+    async def _call(self, sender: str, message: Any) -> tuple[Any] | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        try:
+            return (await handler(sender, message),)
+        except Exception as exc:
+            self._failed(sender, exc)
+            return None
+
+    def _spawn(self, coro: Any) -> asyncio.Task:
+        runner = asyncio.ensure_future(coro)
+        self._running.add(runner)
+        runner.add_done_callback(self._running.discard)
+        return runner
+
+    # Accepted links
+
+    async def _accept(self, stream: iostream.IOStream) -> None:
+        stream.set_nodelay(True)
+        frames = peer_stream.FrameStream(stream)
+        self._accepted.add(frames)
+        try:
+            sender = await asyncio.wait_for(
+                self._admit(frames), HANDSHAKE_TIMEOUT_S
+            )
+            if sender is not None:
+                await self._serve(sender, frames)
+        except (iostream.StreamClosedError, TimeoutError, ValueError):
+            return
+        finally:
+            self._accepted.discard(frames)
+            frames.close()
+
+    async def _admit(self, frames: peer_stream.FrameStream) -> str | None:
+        try:
+            hello = peer_auth.read_hello(await frames.read())
+        except ValueError:
+            hello = None
+        if hello is None:
+            self._refused(errors.PeerUnauthenticated(""))
+            return None
+        made = self._challenge(hello)
+        frames.write([made.name, made.incarnation, made.nonce, made.proof])
+        try:
+            proof = await frames.read()
+        except iostream.StreamClosedError:
+            proof = None
+        if not peer_auth.proof_fits(self._key, "opener", hello, made, proof):
+            self._refused(errors.PeerUnauthenticated(hello.name))
+            return None
+        return hello.name
+
+    def _challenge(self, hello: peer_auth.Hello) -> peer_auth.Challenge:
+        nonce = peer_auth.make_nonce()
+        own = self._own
+        proof = peer_auth.prove(
+            self._key, "acceptor", hello, own.name, own.incarnation, nonce
+        )
+        return peer_auth.Challenge(own.name, own.incarnation, nonce, proof)
+
+    async def _serve(
+        self, sender: str, frames: peer_stream.FrameStream
+    ) -> None:
+        while True:
+            frame = await asyncio.wait_for(frames.read(), ACCEPTED_IDLE_LIMIT_S)
+            if frame == peer_link.PING:
+                frames.write(peer_link.PING)
+                continue
+            if not isinstance(frame, list) or len(frame) != 2:
+                raise ValueError("not a frame")
+            self._spawn(self._answer(sender, frames, *frame))
+
+    async def _answer(
+        self,
+        sender: str,
+        frames: peer_stream.FrameStream,
+        ident: int,
+        row: list[Any],
+    ) -> None:
+        message = codec.row_to_message(row)
+        result = None
+        if message.is_ok():
+            result = await self._call(sender, message.ok)
+        if ident == peer_link.NO_ANSWER:
+            return
+        if result is None:
+            frames.write([ident])
+            return
+        answer = result[0]
+        out = None if answer is None else codec.message_to_row(answer)
+        frames.write([ident, out])
+
+
+def _address(record: endpoints.InstanceRecord) -> tuple[str, int, int]:
+    return (record.peer_host, record.peer_port, record.incarnation)
--- /dev/null
+++ b/tests/seam_node/adapters/test_peer_tcp.py
@@ -0,0 +1,185 @@
+"""Links between instances over loopback TCP."""
+
+import asyncio
+
+import pytest
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import peers
+from seam_node.adapters import peer_tcp
+
+KEY = b"one key for all"
+BEAT = peers.Heartbeat("a", 1, 7, 0, False)
+
+
+class Echo:
+    """Answers heartbeats."""
+
+    def __init__(self):
+        self.senders = []
+        self.hang = False
+
+    async def __call__(self, sender, message):
+        self.senders.append(sender)
+        if self.hang:
+            await asyncio.Event().wait()
+        return peers.HeartbeatAck("b", 1, message.sequence, 3)
+
+
+def record(name, port):
+    return endpoints.InstanceRecord(name, "", "127.0.0.1", port, "dc", 1)
+
+
+class Pair:
+    """Two networks, `a` knowing `b`."""
+
+    def __init__(self, key_b=KEY, silence_s=0.2):
+        self.refused = []
+        self.echo = Echo()
+        self.a = peer_tcp.TcpPeerNetwork(
+            "a", 1, "127.0.0.1", 0, KEY, silence_s=silence_s
+        )
+        self.b = peer_tcp.TcpPeerNetwork(
+            "b", 1, "127.0.0.1", 0, key_b, self.refused.append
+        )
+
+    async def __aenter__(self):
+        self.a.handle(peers.Heartbeat, self.echo)
+        self.b.handle(peers.Heartbeat, self.echo)
+        await self.a.start()
+        await self.b.start()
+        self.a.set_peers([record("b", self.b.bound_port())])
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.a.close()
+        await self.b.close()
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, 60))
+
+
+def test_requests_are_answered_to_their_asker():
+    async def main():
+        async with Pair() as pair:
+            beats = [peers.Heartbeat("a", 1, n, 0, False) for n in range(300)]
+            answers = await asyncio.gather(
+                *(pair.a.request("b", beat, 10) for beat in beats)
+            )
+            assert [a.ok.sequence for a in answers] == list(range(300))
+            own = await pair.a.request("a", BEAT, 10)
+            assert own.ok.sequence == 7
+            assert set(pair.echo.senders) == {"a"}
+
+    run(main())
+
+
+def test_wrong_key_is_refused_on_both_sides():
+    async def main():
+        async with Pair(key_b=b"another key") as pair:
+            answer = await pair.a.request("b", BEAT, 10)
+            assert answer.error == errors.PeerUnauthenticated("b")
+            while not pair.refused:
+                await asyncio.sleep(0.01)
+            assert pair.refused == [errors.PeerUnauthenticated("a")]
+            assert pair.echo.senders == []
+
+    run(main())
+
+
+@pytest.mark.parametrize("sent", [b"\xc1", b"GET / HTTP/1.1\r\n\r\n"])
+def test_a_stranger_is_closed_and_reported(sent):
+    async def main():
+        async with Pair() as pair:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", pair.b.bound_port()
+            )
+            writer.write(sent)
+            assert await reader.read() == b""
+            writer.close()
+            assert pair.refused[0] == errors.PeerUnauthenticated("")
+
+    run(main())
+
+
+def test_errors_say_whether_the_peer_may_have_acted():
+    async def main():
+        async with Pair(silence_s=30) as pair:
+            pair.echo.hang = True
+            late = await pair.a.request("b", BEAT, 0.1)
+            assert late.error == errors.PeerTimeout("b")
+            asked = asyncio.ensure_future(pair.a.request("b", BEAT, 30))
+            while len(pair.echo.senders) < 2:
+                await asyncio.sleep(0.01)
+            await pair.b.close()
+            assert (await asked).error == errors.PeerTimeout("b")
+            gone = await pair.a.request("b", BEAT, 10)
+            assert gone.error == errors.PeerUnreachable("b")
+            none = await pair.a.request("c", BEAT, 10)
+            assert none.error == errors.PeerUnreachable("c")
+
+    run(main())
+
+
+class Relay:
+    """Forwards bytes until told to swallow those of open connections."""
+
+    def __init__(self, port):
+        self.port = port
+        self.opened = 0
+        self.silent = set()
+        self.writers = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        self.opened += 1
+        number = self.opened
+        there, back = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers += [writer, back]
+        await asyncio.gather(
+            self.pump(number, reader, back), self.pump(number, there, writer)
+        )
+
+    async def pump(self, number, reader, writer):
+        while data := await reader.read(65536):
+            if number not in self.silent:
+                writer.write(data)
+
+    async def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+def test_a_silent_link_is_replaced_by_a_new_one():
+    async def main():
+        async with Pair() as pair:
+            relay = Relay(pair.b.bound_port())
+            pair.a.set_peers([record("b", await relay.start())])
+            assert (await pair.a.request("b", BEAT, 10)).is_ok()
+            relay.silent.add(1)
+            lost = await pair.a.request("b", BEAT, 30)
+            assert lost.error == errors.PeerTimeout("b")
+            assert (await pair.a.request("b", BEAT, 10)).is_ok()
+            assert relay.opened == 2
+            await relay.close()
+
+    run(main())
+
+
+def test_a_slow_answer_is_no_silence():
+    async def main():
+        async with Pair(silence_s=0.1) as pair:
+            pair.echo.hang = True
+            asked = asyncio.ensure_future(pair.a.request("b", BEAT, 0.5))
+            assert (await asked).error == errors.PeerTimeout("b")
+            pair.echo.hang = False
+            link = pair.a._links["b"]
+            assert link._frames is not None
+
+    run(main())
