Add membership by the platform's list and bounded heartbeats

Each instance asks three ring neighbours and three peers further round; successors alone would need 67 hops to pass a suspicion on at 400.

--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -19,7 +19,7 @@
     config_version: int
     leaving: bool
     suspects: tuple[str, ...] = ()
-    """Names whose heartbeats the sender misses."""
+    """Whose heartbeats the sender misses, each as `name/incarnation`."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/membership.py
@@ -0,0 +1,430 @@
+"""Who is there: the platform's lagging list and direct heartbeats.
+
+The list says whom to try. Each instance asks a bounded number of peers each
+second, whatever the fleet's size: its next neighbours on a ring of hashed
+names, and some further round it so that a suspicion reaches all in few hops.
+A suspicion is passed on at once but believed only after a direct check, after
+SWIM (Das, Gupta and Motivala, DSN 2002).
+"""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+import random
+from typing import Any
+
+import attrs
+
+from seam_model import endpoints
+from seam_model import peers as messages
+from seam_node import task
+from seam_node.controllers import membership_view
+from seam_node.ports import clock as clock_port
+from seam_node.ports import peer as peer_port
+from seam_node.ports import platform as platform_port
+from seam_policy import rendezvous
+
+HEARTBEAT_S = 1.0
+HEARTBEAT_TIMEOUT_S = 1.0
+SUSPECT_AFTER_S = 2.5
+DEAD_AFTER_S = 5.0
+PAUSE_LIMIT_S = 1.0
+FLEET_POLL_S = 2.0
+ANNOUNCE_S = 3.0
+JITTER = 0.2
+MONITORED = 6
+NEIGHBOURS = 3
+PROBES = 4
+"""Unmonitored peers asked in one tick because of a suspicion."""
+SUSPECTS_SENT = 8
+DOUBT_AGAIN_S = 10.0
+"""How long a direct check refutes what others suspect."""
+
+MembershipView = membership_view.MembershipView
+PeerState = membership_view.PeerState
+Subscriber = Callable[[MembershipView], None]
+
+
+@attrs.define
+class _Peer:
+    record: endpoints.InstanceRecord
+    heard_at: float
+    acked_at: float = float("-inf")
+    sequence: int = 0
+    state: PeerState = PeerState.ALIVE
+    doubted_at: float | None = None
+    """When a suspicion of an unmonitored peer was heard of."""
+    leaving: bool = False
+
+
+@attrs.frozen
+class _Listed:
+    fleet: endpoints.FleetList
+
+
+@attrs.frozen
+class _Tick:
+    pass
+
+
+@attrs.frozen
+class _Acked:
+    ack: messages.HeartbeatAck
+
+
+@attrs.frozen
+class _Leave:
+    pass
+
+
+class MembershipController(task.Task):
+    """Keeps the view of the fleet; see the module's docstring."""
+
+    def __init__(
+        self,
+        own: endpoints.InstanceRecord,
+        platform: platform_port.Platform,
+        network: peer_port.PeerNetwork,
+        clock: clock_port.Clock,
+        rng: random.Random,
+        config_version: Callable[[], int] = lambda: 0,
+        on_config_version: Callable[[str, int], None] = lambda peer, n: None,
+    ):
+        """Registers the heartbeat handler at `network`.
+
+        `config_version` returns the version in force here;
+        `on_config_version` is told what version a peer has.
+        """
+        super().__init__("membership")
+        self._own = own
+        self._platform = platform
+        self._network = network
+        self._clock = clock
+        self._rng = rng
+        self._config_version = config_version
+        self._on_config_version = on_config_version
+        self._peers: dict[str, _Peer] = {}
+        self._monitored: tuple[str, ...] = ()
+        self._subscribers: list[Subscriber] = []
+        self._sequence = 0
+        self._probe_turn = 0
+        self._tick_due: float | None = None
+        self._view = MembershipView(
+            own, live=(_site(own),), instances={own.name: own}
+        )
+        network.handle(messages.Heartbeat, self._on_heartbeat)
+
+    async def start(self) -> None:
+        """Starts polling, announcing and heartbeats."""
+        await super().start()
+        self._due_next()
+        self.spawn(self._poll_loop())
+        self.spawn(self._announce_loop())
+        self.spawn(self._tick_loop())
+
+    def view(self) -> MembershipView:
+        """Returns the present snapshot."""
+        self.wakes()
+        return self._view
+
+    def wakes(self) -> int:
+        """Returns the number of pauses of this process, noticed by now.
+
+        Whoever relays a stream compares this before it sends a byte; it does
+        not wait for the heartbeat task to run first after a pause.
+        """
+        now = self._clock.monotonic()
+        if self._tick_due is None or now <= self._tick_due + PAUSE_LIMIT_S:
+            return self._view.wakes
+        self._tick_due = now
+        for peer in self._peers.values():
+            peer.heard_at = now
+        self._view = attrs.evolve(
+            self._view, paused_at=now, wakes=self._view.wakes + 1
+        )
+        return self._view.wakes
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Calls `subscriber` with each changed view."""
+        self._subscribers.append(subscriber)
+
+    async def leave(self) -> None:
+        """Marks this instance as leaving and announces it at once."""
+        await self.ask(_Leave())
+        await self._platform.announce(self._own)
+
+    async def receive(self, message: Any) -> Any:
+        """Handles one message of the loops or of a peer."""
+        match message:
+            case _Tick():
+                self._on_tick()
+            case _Acked(ack):
+                self._on_ack(ack)
+            case _Listed(fleet):
+                self._on_listed(fleet)
+            case messages.Heartbeat():
+                return self._on_peer_heartbeat(message)
+            case _Leave():
+                self._own = attrs.evolve(self._own, leaving=True)
+                self._publish()
+        return None
+
+    # Loops
+
+    def _jittered(self, period_s: float) -> float:
+        return period_s * (1 + JITTER * (2 * self._rng.random() - 1))
+
+    def _due_next(self) -> None:
+        self._tick_due = self._clock.monotonic() + HEARTBEAT_S
+
+    async def _poll_loop(self) -> None:
+        while True:
+            fleet = await self._platform.fleet()
+            if fleet.is_ok():
+                self.tell(_Listed(fleet.ok))
+            await asyncio.sleep(self._jittered(FLEET_POLL_S))
+
+    async def _announce_loop(self) -> None:
+        while True:
+            await self._platform.announce(self._own)
+            await asyncio.sleep(self._jittered(ANNOUNCE_S))
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            await self.ask(_Tick())
+
+    # The platform's list
+
+    def _on_listed(self, fleet: endpoints.FleetList) -> None:
+        now = self._clock.monotonic()
+        records = {record.name: record for record in fleet.instances}
+        others = {n: r for n, r in records.items() if n != self._own.name}
+        for name in set(self._peers) - set(others):
+            del self._peers[name]
+        for name, record in others.items():
+            self._update(name, record, now)
+        self._network.set_peers(peer.record for peer in self._peers.values())
+        self._watch_ring(now)
+        listed = [record for record in records.values() if not record.leaving]
+        self._view = attrs.evolve(self._view, fleet_at=now)
+        self._publish(
+            listed=_sites(listed),
+            endpoints={record.name: record for record in fleet.endpoints},
+        )
+
+    def _update(
+        self, name: str, record: endpoints.InstanceRecord, now: float
+    ) -> None:
+        peer = self._peers.get(name)
+        if peer is None or record.incarnation > peer.record.incarnation:
+            self._peers[name] = _Peer(record, now, leaving=record.leaving)
+        elif record.incarnation == peer.record.incarnation:
+            peer.record = record
+            peer.leaving = peer.leaving or record.leaving
+
+    def _watch_ring(self, now: float) -> None:
+        monitored = ring_peers(self._own.name, self._peers)
+        for name in set(monitored) - set(self._monitored):
+            peer = self._peers[name]
+            if peer.state is PeerState.ALIVE:
+                peer.heard_at = now
+        self._monitored = monitored
+
+    # Heartbeats
+
+    def _on_tick(self) -> None:
+        self.wakes()
+        self._due_next()
+        self._judge()
+        self._sequence += 1
+        beat = messages.Heartbeat(
+            self._own.name,
+            self._own.incarnation,
+            self._sequence,
+            self._config_version(),
+            self._own.leaving,
+            self._suspects(),
+        )
+        for name in self._monitored + self._probed():
+            self.spawn(self._beat(name, beat))
+        self._publish()
+
+    async def _beat(self, name: str, beat: messages.Heartbeat) -> None:
+        answer = await self._network.request(name, beat, HEARTBEAT_TIMEOUT_S)
+        if answer.is_ok() and isinstance(answer.ok, messages.HeartbeatAck):
+            self.tell(_Acked(answer.ok))
+
+    async def _on_heartbeat(
+        self, sender: str, message: messages.Heartbeat
+    ) -> messages.HeartbeatAck:
+        return await self.ask(message)
+
+    def _on_peer_heartbeat(
+        self, beat: messages.Heartbeat
+    ) -> messages.HeartbeatAck:
+        peer = self._heard(beat.name, beat.incarnation, beat.sequence)
+        if peer is not None:
+            peer.leaving = peer.leaving or beat.leaving
+            self._on_config_version(beat.name, beat.config_version)
+            for suspect in beat.suspects[:SUSPECTS_SENT]:
+                self._doubt(suspect)
+        self._publish()
+        return messages.HeartbeatAck(
+            self._own.name,
+            self._own.incarnation,
+            beat.sequence,
+            self._config_version(),
+        )
+
+    def _on_ack(self, ack: messages.HeartbeatAck) -> None:
+        peer = self._heard(ack.name, ack.incarnation, None)
+        if peer is not None:
+            peer.acked_at = self._clock.monotonic()
+            self._on_config_version(ack.name, ack.config_version)
+        self._publish()
+
+    def _heard(
+        self, name: str, incarnation: int, sequence: int | None
+    ) -> _Peer | None:
+        peer = self._peers.get(name)
+        if peer is None or incarnation < peer.record.incarnation:
+            return None
+        if incarnation > peer.record.incarnation:
+            record = attrs.evolve(peer.record, incarnation=incarnation)
+            peer = _Peer(record, 0.0)
+            self._peers[name] = peer
+        if sequence is not None:
+            if sequence <= peer.sequence:
+                return None
+            peer.sequence = sequence
+        peer.heard_at = self._clock.monotonic()
+        peer.state = PeerState.ALIVE
+        peer.doubted_at = None
+        return peer
+
+    # Suspicion
+
+    def _doubt(self, suspect: str) -> None:
+        name, _, incarnation = suspect.rpartition("/")
+        peer = self._peers.get(name)
+        if peer is None or name in self._monitored:
+            return
+        now = self._clock.monotonic()
+        fresh = now - peer.acked_at < DOUBT_AGAIN_S
+        if str(peer.record.incarnation) != incarnation or fresh:
+            return
+        if peer.doubted_at is None:
+            peer.doubted_at = now
+
+    def _judge(self) -> None:
+        now = self._clock.monotonic()
+        for name, peer in self._peers.items():
+            if name in self._monitored:
+                missed_s = now - peer.heard_at
+            elif peer.doubted_at is not None:
+                missed_s = now - peer.doubted_at
+            else:
+                continue
+            if missed_s >= DEAD_AFTER_S:
+                peer.state = PeerState.DEAD
+            elif missed_s >= SUSPECT_AFTER_S:
+                peer.state = PeerState.SUSPECT
+
+    def _suspects(self) -> tuple[str, ...]:
+        found = [
+            peer
+            for peer in self._peers.values()
+            if peer.state is not PeerState.ALIVE or peer.doubted_at is not None
+        ]
+        found.sort(key=lambda peer: peer.heard_at, reverse=True)
+        return tuple(
+            f"{peer.record.name}/{peer.record.incarnation}"
+            for peer in found[:SUSPECTS_SENT]
+        )
+
+    def _probed(self) -> tuple[str, ...]:
+        doubted = [
+            name
+            for name, peer in self._peers.items()
+            if peer.doubted_at is not None and name not in self._monitored
+        ]
+        if len(doubted) <= PROBES:
+            return tuple(doubted)
+        self._probe_turn += PROBES
+        start = self._probe_turn % len(doubted)
+        return tuple((doubted[start:] + doubted[:start])[:PROBES])
+
+    # The view
+
+    def _publish(self, **changed: Any) -> None:
+        old = self._view
+        peers = self._peers
+        alive = [
+            peer.record
+            for peer in peers.values()
+            if peer.state is not PeerState.DEAD and not peer.leaving
+        ]
+        if not self._own.leaving:
+            alive.append(self._own)
+        records = {name: peer.record for name, peer in peers.items()}
+        records[self._own.name] = self._own
+        leaving = {name for name, peer in peers.items() if peer.leaving}
+        if self._own.leaving:
+            leaving.add(self._own.name)
+        new = attrs.evolve(
+            old,
+            own=self._own,
+            live=_sites(alive),
+            leaving=tuple(sorted(leaving)),
+            instances=records,
+            states={name: peer.state for name, peer in peers.items()},
+            **changed,
+        )
+        self._view = attrs.evolve(
+            new, heard_majority_at=self._heard_majority_at()
+        )
+        if new != old:
+            for subscriber in self._subscribers:
+                subscriber(self._view)
+
+    def _heard_majority_at(self) -> float:
+        if not self._monitored:
+            return self._clock.monotonic()
+        times = [self._peers[name].acked_at for name in self._monitored]
+        times.sort(reverse=True)
+        return max(0.0, times[len(times) // 2])
+
+
+def ring_peers(own: str, names: Any) -> tuple[str, ...]:
+    """Returns the at most `MONITORED` peers that `own` asks."""
+    ring = sorted({*names, own}, key=_ring_place)
+    size = len(ring)
+    start = ring.index(own)
+    steps = list(range(1, min(MONITORED, size - 1) + 1))
+    if size > MONITORED + 1:
+        steps[NEIGHBOURS:] = _far_steps(size)
+    return tuple(ring[(start + step) % size] for step in steps)
+
+
+def _far_steps(size: int) -> list[int]:
+    count = MONITORED - NEIGHBOURS
+    root = size ** (1 / (count + 1))
+    steps: list[int] = []
+    for exponent in range(1, count + 1):
+        least = (steps[-1] if steps else NEIGHBOURS) + 1
+        steps.append(max(least, round(root**exponent)))
+    return steps
+
+
+def _ring_place(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
+def _site(record: endpoints.InstanceRecord) -> rendezvous.Site:
+    return rendezvous.Site(record.name, record.data_centre)
+
+
+def _sites(records: Any) -> tuple[rendezvous.Site, ...]:
+    sites = [_site(record) for record in records]
+    return tuple(sorted(sites, key=lambda site: site.name))
--- /dev/null
+++ b/tests/seam_node/controllers/test_membership.py
@@ -0,0 +1,204 @@
+"""Membership under silence, restarts, pauses and growth."""
+
+import asyncio
+import random
+
+import pytest
+
+from seam_node.controllers import membership
+from seam_node.controllers import membership_view
+from tests.seam_node.controllers import peer_world
+
+DEAD = membership_view.PeerState.DEAD
+NAMES = ("a", "b", "c", "d")
+
+
+def make(world, name, incarnation=1, **options):
+    network = peer_world.MemoryNetwork(world, name)
+    return membership.MembershipController(
+        peer_world.record(name, incarnation),
+        peer_world.MemoryPlatform(world),
+        network,
+        peer_world.CLOCK,
+        random.Random(f"{name}{incarnation}"),
+        **options,
+    )
+
+
+async def begin(world, name, incarnation=1, **options):
+    made = make(world, name, incarnation, **options)
+    await made._network.start()
+    await made.start()
+    return made
+
+
+async def begin_all(world, names=NAMES):
+    return {name: await begin(world, name) for name in names}
+
+
+def live(controller):
+    return {site.name for site in controller.view().live}
+
+
+def test_a_silent_peer_dies_and_returns_only_anew():
+    async def main():
+        world = peer_world.World(random.Random(1))
+        nodes = await begin_all(world)
+        await asyncio.sleep(6)
+        assert live(nodes["a"]) == set(NAMES)
+        await nodes["d"].close()
+        world.stop("d")
+        await asyncio.sleep(10)
+        view = nodes["a"].view()
+        assert view.states["d"] is DEAD
+        assert {site.name for site in view.listed} == set(NAMES)
+        assert not view.is_live("d", 1)
+        await begin(world, "d", incarnation=2)
+        await asyncio.sleep(6)
+        assert nodes["a"].view().is_live("d", 2)
+        assert not nodes["a"].view().is_live("d", 1)
+
+    peer_world.run(main())
+
+
+def test_a_cut_is_seen_by_who_lost_the_majority():
+    async def main():
+        world = peer_world.World(random.Random(2))
+        nodes = await begin_all(world)
+        await asyncio.sleep(6)
+        world.part("a", "bcd")
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(10)
+        assert nodes["a"].view().heard_majority_at <= now + 0.1
+        assert nodes["b"].view().heard_majority_at > now + 8
+        assert live(nodes["a"]) == {"a"}
+        assert live(nodes["b"]) == set("bcd")
+
+    peer_world.run(main())
+
+
+def test_the_last_list_stays_while_the_platform_is_out():
+    async def main():
+        world = peer_world.World(random.Random(3))
+        nodes = await begin_all(world)
+        await asyncio.sleep(6)
+        world.platform_out = True
+        await asyncio.sleep(60)
+        assert live(nodes["a"]) == set(NAMES)
+
+    peer_world.run(main())
+
+
+def test_leaving_is_known_by_heartbeat_without_the_platform():
+    async def main():
+        world = peer_world.World(random.Random(4))
+        nodes = await begin_all(world)
+        seen = []
+        await asyncio.sleep(6)
+        nodes["a"].subscribe(seen.append)
+        world.platform_out = True
+        await nodes["b"].leave()
+        await asyncio.sleep(2)
+        assert live(nodes["a"]) == set("acd")
+        assert nodes["a"].view().leaving == ("b",)
+        assert len(seen) == 1
+
+    peer_world.run(main())
+
+
+def test_a_pause_is_known_before_the_next_heartbeat():
+    async def main():
+        world = peer_world.World(random.Random(5))
+        nodes = await begin_all(world)
+        await asyncio.sleep(6.5)
+        assert nodes["a"].wakes() == 0
+        asyncio.get_running_loop().now += 30
+        assert nodes["a"].wakes() == 1
+        assert nodes["a"].wakes() == 1
+        view = nodes["a"].view()
+        assert view.paused_at == asyncio.get_running_loop().time()
+        await asyncio.sleep(1.5)
+        assert live(nodes["a"]) == set(NAMES)
+
+    peer_world.run(main())
+
+
+def test_config_versions_are_passed_on():
+    async def main():
+        world = peer_world.World(random.Random(6))
+        heard = []
+        await begin(world, "a", config_version=lambda: 41)
+        await begin(
+            world, "b", on_config_version=lambda *seen: heard.append(seen)
+        )
+        await asyncio.sleep(6)
+        assert set(heard) == {("a", 41)}
+
+    peer_world.run(main())
+
+
+@pytest.mark.parametrize("size", [2, 7, 8, 60, 400])
+def test_asked_peers_are_bounded_and_reach_everyone(size):
+    names = [f"node-{n}" for n in range(size)]
+    asked = {name: membership.ring_peers(name, names) for name in names}
+    assert all(len(set(p)) == min(6, size - 1) for p in asked.values())
+    assert all(name not in peers for name, peers in asked.items())
+    reached, edge, hops = {names[0]}, {names[0]}, 0
+    while edge:
+        edge = {p for name in edge for p in asked[name]} - reached
+        reached |= edge
+        hops += bool(edge)
+    assert len(reached) == size
+    assert hops <= 12
+
+
+def test_400_listed_instances_cost_six_heartbeats_a_second():
+    async def main():
+        world = peer_world.World(random.Random(7))
+        for n in range(400):
+            record = peer_world.record(f"node-{n}")
+            world.records[record.name] = record
+        await begin(world, "node-0")
+        await asyncio.sleep(30)
+        count = world.requests["node-0", "Heartbeat"]
+        assert 0 < count <= 6 * 30
+
+    peer_world.run(main())
+
+
+def test_a_death_spreads_beyond_the_monitors():
+    async def main():
+        world = peer_world.World(random.Random(8))
+        names = [f"node-{n}" for n in range(30)]
+        nodes = await begin_all(world, names)
+        await asyncio.sleep(8)
+        await nodes["node-3"].close()
+        world.stop("node-3")
+        await asyncio.sleep(25)
+        states = {
+            name: node.view().states["node-3"]
+            for name, node in nodes.items()
+            if name != "node-3"
+        }
+        assert set(states.values()) == {DEAD}
+
+    peer_world.run(main())
+
+
+def test_a_suspicion_by_one_is_refuted_by_direct_answers():
+    async def main():
+        world = peer_world.World(random.Random(9))
+        names = [f"node-{n}" for n in range(30)]
+        nodes = await begin_all(world, names)
+        await asyncio.sleep(8)
+        monitor = next(n for n in names if "node-3" in nodes[n]._monitored)
+        world.cut = {(monitor, "node-3")}
+        await asyncio.sleep(25)
+        dead = [
+            name
+            for name, node in nodes.items()
+            if node.view().states.get("node-3") is DEAD
+        ]
+        assert dead == [monitor]
+
+    peer_world.run(main())
