Add registry, mirrors and reaper: one run per request

Votes of three replicas over the listed set, under old and new list while a change settles. A restarted mirror does not vote before it synced.

--- a/packages/seam_model/seam_model/codec.py
+++ b/packages/seam_model/seam_model/codec.py
@@ -37,6 +37,10 @@
         17: peers.ClaimStored,
         18: peers.ConfigFetch,
         19: peers.ConfigObject,
+        30: peers.RunReleased,
+        31: peers.RunQuery,
+        32: peers.MirrorSync,
+        33: peers.MirrorSyncAnswer,
     }
 )
 _TAGS = {cls: tag for tag, cls in PEER_MESSAGES.items()}
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -328,6 +328,13 @@
     outcome: str
 
 
+@attrs.frozen
+class RunUnknown(SeamError):
+    """A majority of the mirrors knows no run of the id."""
+
+    code = "run_unknown"
+
+
 @attrs.frozen
 class OutcomeUnknown(SeamError):
     """The order was claimed and sent, and its outcome is not known."""
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -80,6 +80,45 @@
     outcome: str
 
 
+@attrs.frozen
+class RunReleased:
+    """Withdraws a registration that did not get its majority."""
+
+    request_id: bytes
+    generation: int
+    instance: str
+    incarnation: int
+
+
+@attrs.frozen
+class RunQuery:
+    """Asks a mirror what it holds; answered by `RegisterAnswer`.
+
+    The answer's `granted` is true; its generation is 0 for an unknown run.
+    """
+
+    request_id: bytes
+
+
+@attrs.frozen
+class MirrorSync:
+    """Asks a peer for the runs that `name` mirrors."""
+
+    name: str
+
+
+@attrs.frozen
+class MirrorSyncAnswer:
+    """Runs as columns of equal length."""
+
+    request_ids: tuple[bytes, ...]
+    generations: tuple[int, ...]
+    instances: tuple[str, ...]
+    incarnations: tuple[int, ...]
+    engines: tuple[str, ...]
+    ended: tuple[str, ...]
+
+
 @attrs.frozen
 class HandOver:
     """Asks the instance that relays a stream to let it go."""
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -0,0 +1,345 @@
+"""The replica side of one run per request: votes and watches over runs.
+
+A mirror keeps no disk. One that has just started votes only after it fetched
+the runs that it mirrors from every live listed peer, or after the longest
+deadline of a run, because it has lost the votes that it gave before.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from seam_model import peers
+from seam_node import task
+from seam_node.controllers import membership
+from seam_node.controllers import membership_view
+from seam_node.ports import clock as clock_port
+from seam_node.ports import peer as peer_port
+from seam_policy import rendezvous
+
+REPLICAS = 3
+RESUME_WINDOW_S = 5.0
+CANCEL_FALLBACK_S = 3.0
+"""Extra wait of each later replica before it cancels too."""
+SWEEP_S = 1.0
+SYNC_PERIOD_S = 0.5
+SYNC_TIMEOUT_S = 2.0
+RUN_LIFE_S = 900.0
+ENDED_WINDOW_S = 300.0
+MAX_RUNS = 100_000
+ABANDONED = "abandoned"
+
+
+@attrs.define
+class Entry:
+    """What a mirror knows of one run."""
+
+    generation: int
+    instance: str
+    """Empty after a takeover was withdrawn."""
+    incarnation: int
+    at: float
+    engine: str = ""
+    ended: str = ""
+    orphan_at: float | None = None
+
+
+@attrs.frozen
+class _Sweep:
+    pass
+
+
+@attrs.frozen
+class _Synced:
+    answer: peers.MirrorSyncAnswer
+
+
+Cancel = Callable[[str, bytes, int], Awaitable[bool]]
+"""Cancels at an engine up to a generation; tells whether that was done."""
+
+
+class Mirror(task.Task):
+    """Votes on registrations; cancels what no caller came back for."""
+
+    def __init__(
+        self,
+        members: membership.MembershipController,
+        network: peer_port.PeerNetwork,
+        clock: clock_port.Clock,
+        cancel: Cancel,
+        own_runs: Callable[[], Iterable[tuple[bytes, Entry]]] = lambda: (),
+        warm_bound_s: float = RUN_LIFE_S,
+    ):
+        """Registers the handlers of the mirrors' messages.
+
+        `own_runs` lists the runs that this instance itself owns, so that it
+        can help a restarted mirror too.
+        """
+        super().__init__("mirror")
+        self._members = members
+        self._network = network
+        self._clock = clock
+        self._cancel = cancel
+        self._own_runs = own_runs
+        self._warm_bound_s = warm_bound_s
+        self._entries: dict[bytes, Entry] = {}
+        self.warming = True
+        for kind in (
+            peers.RegisterRun,
+            peers.RunPlaced,
+            peers.RunEnded,
+            peers.RunReleased,
+            peers.RunQuery,
+            peers.MirrorSync,
+        ):
+            network.handle(kind, self._on_message)
+
+    async def start(self) -> None:
+        """Starts to warm up and to sweep."""
+        await super().start()
+        self.spawn(self._warm_up())
+        self.spawn(self._sweep_loop())
+
+    async def receive(self, message: Any) -> Any:
+        """Handles one message and returns its answer, if it has one."""
+        match message:
+            case peers.RegisterRun():
+                return self._vote(message)
+            case peers.RunQuery(request_id):
+                entry = self._entries.get(request_id)
+                return self._answer(entry, granted=not self.warming)
+            case peers.RunPlaced(request_id, generation, engine):
+                entry = self._entries.get(request_id)
+                if entry is not None and entry.generation == generation:
+                    entry.engine = engine
+            case peers.RunEnded(request_id, generation, outcome):
+                self._end(request_id, generation, outcome)
+            case peers.RunReleased():
+                self._release(message)
+            case peers.MirrorSync(name):
+                return self._sync_answer(name)
+            case _Synced(answer):
+                self._merge(answer)
+            case _Sweep():
+                self._sweep()
+        return None
+
+    async def _on_message(self, sender: str, message: Any) -> Any:
+        return await self.ask(message)
+
+    # Votes
+
+    def _vote(self, wanted: peers.RegisterRun) -> peers.RegisterAnswer:
+        entry = self._entries.get(wanted.request_id)
+        if self.warming:
+            return self._answer(entry, granted=False)
+        if entry is None:
+            if len(self._entries) >= MAX_RUNS:
+                return self._answer(None, granted=False)
+            entry = Entry(0, "", 0, 0.0)
+            self._entries[wanted.request_id] = entry
+        elif entry.ended:
+            return self._answer(entry, granted=False)
+        same = (entry.instance, entry.incarnation, entry.generation) == (
+            wanted.instance,
+            wanted.incarnation,
+            wanted.generation,
+        )
+        if wanted.generation <= entry.generation and not same:
+            return self._answer(entry, granted=False)
+        entry.generation = wanted.generation
+        entry.instance = wanted.instance
+        entry.incarnation = wanted.incarnation
+        entry.at = self._clock.monotonic()
+        entry.orphan_at = None
+        return self._answer(entry, granted=True)
+
+    def _answer(
+        self, entry: Entry | None, granted: bool
+    ) -> peers.RegisterAnswer:
+        if entry is None:
+            return peers.RegisterAnswer(granted, 0, "", 0, "", "", self.warming)
+        return peers.RegisterAnswer(
+            granted,
+            entry.generation,
+            entry.instance,
+            entry.incarnation,
+            entry.engine,
+            entry.ended,
+            self.warming,
+        )
+
+    def _release(self, message: peers.RunReleased) -> None:
+        entry = self._entries.get(message.request_id)
+        if entry is None or entry.ended:
+            return
+        holder = (entry.generation, entry.instance, entry.incarnation)
+        if holder != (
+            message.generation,
+            message.instance,
+            message.incarnation,
+        ):
+            return
+        if message.generation == 1:
+            del self._entries[message.request_id]
+        else:
+            entry.instance = ""
+
+    def _end(self, request_id: bytes, generation: int, outcome: str) -> None:
+        entry = self._entries.get(request_id)
+        if entry is None:
+            entry = Entry(generation, "", 0, 0.0)
+            self._entries[request_id] = entry
+        if generation >= entry.generation and not entry.ended:
+            entry.ended = outcome
+            entry.at = self._clock.monotonic()
+
+    # Warming up
+
+    async def _warm_up(self) -> None:
+        loop = asyncio.get_running_loop()
+        bound = loop.time() + self._warm_bound_s
+        synced: set[str] = set()
+        while loop.time() < bound:
+            view = self._members.view()
+            missing = _unsynced(view, synced)
+            if view.fleet_at is not None and not missing:
+                break
+            jobs = [self._sync_with(name) for name in missing]
+            synced.update(filter(None, await asyncio.gather(*jobs)))
+            await asyncio.sleep(SYNC_PERIOD_S)
+        self.warming = False
+
+    async def _sync_with(self, name: str) -> str | None:
+        own = self._members.view().own.name
+        answer = await self._network.request(
+            name, peers.MirrorSync(own), SYNC_TIMEOUT_S
+        )
+        if answer.is_error() or answer.ok is None:
+            return None
+        await self.ask(_Synced(answer.ok))
+        return name
+
+    def _sync_answer(self, name: str) -> peers.MirrorSyncAnswer:
+        listed = self._members.view().listed
+        found = dict(self._own_runs()) | self._entries
+        rows = [
+            (request_id, *_columns(entry))
+            for request_id, entry in found.items()
+            if name in replica_names(request_id, listed)
+        ]
+        if not rows:
+            return peers.MirrorSyncAnswer((), (), (), (), (), ())
+        return peers.MirrorSyncAnswer(*zip(*rows, strict=True))
+
+    def _merge(self, answer: peers.MirrorSyncAnswer) -> None:
+        columns = attrs.astuple(answer, recurse=False)
+        now = self._clock.monotonic()
+        for request_id, *values in zip(*columns, strict=True):
+            generation, instance, incarnation, engine, ended = values
+            known = self._entries.get(request_id)
+            if known is not None and known.generation > generation:
+                continue
+            if known is not None and known.ended:
+                continue
+            self._entries[request_id] = Entry(
+                generation, instance, incarnation, now, engine, ended
+            )
+
+    # Watching over runs
+
+    async def _sweep_loop(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            await self.ask(_Sweep())
+
+    def _sweep(self) -> None:
+        now = self._clock.monotonic()
+        view = self._members.view()
+        for request_id, entry in tuple(self._entries.items()):
+            life_s = ENDED_WINDOW_S if entry.ended else RUN_LIFE_S
+            if now - entry.at > life_s:
+                del self._entries[request_id]
+            elif not entry.ended:
+                self._watch(request_id, entry, view, now)
+
+    def _watch(
+        self,
+        request_id: bytes,
+        entry: Entry,
+        view: membership_view.MembershipView,
+        now: float,
+    ) -> None:
+        if not is_gone(view, entry.instance, entry.incarnation):
+            entry.orphan_at = None
+            return
+        if entry.orphan_at is None:
+            entry.orphan_at = now
+        live = {site.name for site in view.live}
+        names = replica_names(request_id, view.listed)
+        order = [name for name in names if name in live]
+        own = view.own.name
+        place = order.index(own) if own in order else len(order)
+        wait_s = RESUME_WINDOW_S + place * CANCEL_FALLBACK_S
+        if now - entry.orphan_at >= wait_s:
+            entry.orphan_at = now
+            self.spawn(self._abandon(request_id, entry, names))
+
+    async def _abandon(
+        self, request_id: bytes, entry: Entry, names: tuple[str, ...]
+    ) -> None:
+        generation = entry.generation
+        if entry.engine and not await self._cancel(
+            entry.engine, request_id, generation
+        ):
+            return
+        for name in names:
+            self._network.notify(
+                name, peers.RunEnded(request_id, generation, ABANDONED)
+            )
+        self.tell(peers.RunEnded(request_id, generation, ABANDONED))
+
+
+def replica_names(
+    request_id: bytes, listed: Iterable[rendezvous.Site]
+) -> tuple[str, ...]:
+    """Returns the names of a request's replicas, best first."""
+    sites = rendezvous.spread(request_id, listed, REPLICAS)
+    return tuple(site.name for site in sites)
+
+
+def is_gone(
+    view: membership_view.MembershipView, instance: str, incarnation: int
+) -> bool:
+    """Tells whether an owner has ended, as far as is known."""
+    record = view.instances.get(instance)
+    if record is not None and incarnation > record.incarnation:
+        return False
+    return not view.is_live(instance, incarnation)
+
+
+def _unsynced(
+    view: membership_view.MembershipView, synced: set[str]
+) -> list[str]:
+    dead = membership_view.PeerState.DEAD
+    return [
+        site.name
+        for site in view.listed
+        if site.name != view.own.name
+        and site.name not in synced
+        and view.states.get(site.name) is not dead
+    ]
+
+
+def _columns(entry: Entry) -> tuple[Any, ...]:
+    return (
+        entry.generation,
+        entry.instance,
+        entry.incarnation,
+        entry.engine,
+        entry.ended,
+    )
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/registry.py
@@ -0,0 +1,384 @@
+"""The owner side of one run per request.
+
+See docs/decisions/one-run-per-request.md.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import errors
+from seam_model import peers
+from seam_node import task
+from seam_node.controllers import membership
+from seam_node.controllers import membership_view
+from seam_node.controllers import mirror
+from seam_node.ports import clock as clock_port
+from seam_node.ports import peer as peer_port
+from seam_policy import rendezvous
+
+REGISTER_TIMEOUT_S = 1.0
+HAND_OVER_TIMEOUT_S = 1.0
+TELL_TIMEOUT_S = 2.0
+TELL_TRIES = 3
+LIST_SETTLE_S = 10.0
+"""How long a replaced list still counts, for peers that see it later."""
+RENEW_S = 1.0
+
+
+@attrs.frozen
+class Registration:
+    """The right to run a request under a generation."""
+
+    request_id: bytes
+    generation: int
+
+
+@attrs.frozen
+class TakeOver:
+    """The right to continue a run; `engine` is empty if never told."""
+
+    engine: str
+    generation: int
+
+
+@attrs.define
+class _Run:
+    generation: int
+    engine: str = ""
+    registered: bool = False
+    known_at: set[tuple[str, int]] = attrs.field(factory=set)
+    renewing: bool = False
+
+
+@attrs.frozen
+class _Superseded:
+    sites: tuple[rendezvous.Site, ...]
+    until: float
+
+
+@attrs.define
+class _Ballot:
+    sets: tuple[tuple[str, ...], ...]
+    answers: dict[str, peers.RegisterAnswer] = attrs.field(factory=dict)
+    missing: int = 0
+
+    def won(self) -> bool:
+        """Tells whether each replica set gave a majority."""
+        return bool(self.sets) and all(
+            self._granted(names) > len(names) // 2 for names in self.sets
+        )
+
+    def shortfall(self) -> errors.NoQuorum:
+        """Returns the failure of the set that came out worst."""
+        if not self.sets:
+            return errors.NoQuorum(0, 1)
+        worst = min(
+            self.sets, key=lambda names: self._granted(names) - len(names) // 2
+        )
+        return errors.NoQuorum(self._granted(worst), len(worst) // 2 + 1)
+
+    def _granted(self, names: tuple[str, ...]) -> int:
+        answers = (self.answers.get(name) for name in names)
+        return sum(1 for answer in answers if answer and answer.granted)
+
+
+class Registry(task.Task):
+    """Registers, takes over and ends the runs of this instance."""
+
+    def __init__(
+        self,
+        members: membership.MembershipController,
+        network: peer_port.PeerNetwork,
+        clock: clock_port.Clock,
+        let_go: Callable[[bytes], Awaitable[None]],
+        fenced: Callable[[bytes], None] = lambda request_id: None,
+    ):
+        """Registers the handler of hand-overs.
+
+        `let_go` makes the relay stop sending and detach from the engine;
+        `fenced` is told of a run that another instance has taken.
+        """
+        super().__init__("registry")
+        self._members = members
+        self._network = network
+        self._clock = clock
+        self._let_go = let_go
+        self._fenced = fenced
+        self._runs: dict[bytes, _Run] = {}
+        self._listed: tuple[rendezvous.Site, ...] = ()
+        self._superseded: list[_Superseded] = []
+        network.handle(peers.HandOver, self._on_hand_over)
+        members.subscribe(self._on_view)
+
+    async def receive(self, message: Any) -> Any:
+        """Handles a hand-over."""
+        run = self._runs.get(message.request_id)
+        if run is None:
+            return peers.HandOverAnswer(False, "", 0)
+        if run.generation >= message.generation:
+            return peers.HandOverAnswer(True, run.engine, run.generation)
+        del self._runs[message.request_id]
+        await self._let_go(message.request_id)
+        return peers.HandOverAnswer(True, run.engine, run.generation)
+
+    def own_runs(self) -> Iterable[tuple[bytes, mirror.Entry]]:
+        """Returns the registered runs of this instance, for mirrors."""
+        own = self._members.view().own
+        now = self._clock.monotonic()
+        return [
+            (request_id, mirror.Entry(*_holder(own, run), now, run.engine))
+            for request_id, run in self._runs.items()
+            if run.registered
+        ]
+
+    async def begin(
+        self, request_id: bytes
+    ) -> expression.Result[Registration, errors.SeamError]:
+        """Registers a first run.
+
+        Errors: `AlreadyRunning`, `AlreadyEnded`, `NoQuorum`.
+        """
+        own = self._members.view().own.name
+        if request_id in self._runs:
+            return expression.Error(errors.AlreadyRunning(own))
+        return await self._register(request_id, _Run(1))
+
+    def placed(self, request_id: bytes, engine: str) -> None:
+        """Tells the mirrors which engine holds the stream."""
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.engine = engine
+            self._tell_all(peers.RunPlaced(request_id, run.generation, engine))
+
+    def ended(self, request_id: bytes, outcome: str) -> None:
+        """Tells the mirrors that the run has ended."""
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            self._tell_all(peers.RunEnded(request_id, run.generation, outcome))
+
+    async def take_over(
+        self, request_id: bytes
+    ) -> expression.Result[TakeOver, errors.SeamError]:
+        """Continues a run that another reader or instance holds.
+
+        Errors: `RunUnknown`, `AlreadyEnded`, `NoQuorum` and, when another
+        takeover was faster, `AlreadyRunning`.
+        """
+        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        known = [a for a in ballot.answers.values() if a.generation]
+        for answer in known:
+            if answer.ended:
+                return expression.Error(errors.AlreadyEnded(answer.ended))
+        if not ballot.won():
+            return expression.Error(ballot.shortfall())
+        if not known:
+            return expression.Error(errors.RunUnknown())
+        known.sort(key=lambda a: a.generation, reverse=True)
+        generation = known[0].generation + 1
+        engine = next((a.engine for a in known if a.engine), "")
+        holder = next((a.instance for a in known if a.instance), "")
+        handed = await self._hand_over(request_id, generation, holder)
+        run = _Run(generation, handed or engine)
+        made = await self._register(request_id, run)
+        if made.is_error():
+            return made
+        if run.engine:
+            self.placed(request_id, run.engine)
+        return expression.Ok(TakeOver(run.engine, generation))
+
+    async def prove(self, request_id: bytes) -> bool:
+        """Tells whether a majority still knows this run as the newest."""
+        run = self._runs.get(request_id)
+        if run is None:
+            return False
+        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        held = _holder(self._members.view().own, run)
+        for name, answer in ballot.answers.items():
+            seen = (answer.generation, answer.instance, answer.incarnation)
+            ballot.answers[name] = attrs.evolve(
+                answer, granted=answer.granted and seen == held
+            )
+        return ballot.won() and self._runs.get(request_id) is run
+
+    # Registration
+
+    async def _register(
+        self, request_id: bytes, run: _Run
+    ) -> expression.Result[Registration, errors.SeamError]:
+        self._runs[request_id] = run
+        own = self._members.view().own
+        wanted = peers.RegisterRun(request_id, *_holder(own, run))
+        try:
+            ballot = await self._poll(request_id, wanted)
+        except asyncio.CancelledError:
+            self._drop(request_id, run)
+            self._release(wanted, self._sets(request_id))
+            raise
+        ended = any(answer.ended for answer in ballot.answers.values())
+        held = self._runs.get(request_id) is run
+        if ballot.won() and held and not ended:
+            run.registered = True
+            self._note_known(run, ballot)
+            return expression.Ok(Registration(request_id, wanted.generation))
+        self._drop(request_id, run)
+        self._release(wanted, ballot.sets)
+        return expression.Error(_refusal(ballot, own))
+
+    def _drop(self, request_id: bytes, run: _Run) -> None:
+        if self._runs.get(request_id) is run:
+            del self._runs[request_id]
+
+    def _release(
+        self, wanted: peers.RegisterRun, sets: tuple[tuple[str, ...], ...]
+    ) -> None:
+        message = peers.RunReleased(
+            wanted.request_id,
+            wanted.generation,
+            wanted.instance,
+            wanted.incarnation,
+        )
+        for name in _union(sets):
+            self.spawn(self._tell(name, message))
+
+    async def _hand_over(
+        self, request_id: bytes, generation: int, holder: str
+    ) -> str:
+        if not holder:
+            return ""
+        answer = await self._network.request(
+            holder,
+            peers.HandOver(request_id, generation),
+            HAND_OVER_TIMEOUT_S,
+        )
+        if answer.is_error() or answer.ok is None:
+            return ""
+        return answer.ok.engine if answer.ok.generation < generation else ""
+
+    async def _on_hand_over(
+        self, sender: str, message: peers.HandOver
+    ) -> peers.HandOverAnswer:
+        return await self.ask(message)
+
+    # Replicas
+
+    def _sets(self, request_id: bytes) -> tuple[tuple[str, ...], ...]:
+        now = self._clock.monotonic()
+        self._superseded = [s for s in self._superseded if s.until > now]
+        lists = [self._members.view().listed]
+        lists += [old.sites for old in self._superseded]
+        found = (mirror.replica_names(request_id, sites) for sites in lists)
+        return tuple(dict.fromkeys(names for names in found if names))
+
+    async def _poll(self, request_id: bytes, message: Any) -> _Ballot:
+        ballot = _Ballot(self._sets(request_id))
+        jobs = {
+            self.spawn(
+                self._network.request(name, message, REGISTER_TIMEOUT_S)
+            ): name
+            for name in _union(ballot.sets)
+        }
+        waiting = set(jobs)
+        while waiting and not ballot.won():
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            for job in done:
+                answer = job.result()
+                if answer.is_ok() and answer.ok is not None:
+                    ballot.answers[jobs[job]] = answer.ok
+        return ballot
+
+    def _tell_all(self, message: Any) -> None:
+        for name in _union(self._sets(message.request_id)):
+            self.spawn(self._tell(name, message))
+
+    async def _tell(self, name: str, message: Any) -> None:
+        for _ in range(TELL_TRIES):
+            answer = await self._network.request(name, message, TELL_TIMEOUT_S)
+            if answer.is_ok():
+                return
+
+    # Changed lists and restarted replicas
+
+    def _on_view(self, view: membership_view.MembershipView) -> None:
+        if view.listed != self._listed:
+            until = self._clock.monotonic() + LIST_SETTLE_S
+            if self._listed:
+                self._superseded.append(_Superseded(self._listed, until))
+            self._listed = view.listed
+        for request_id, run in self._runs.items():
+            stale = not self._wanted_at(request_id, view) <= run.known_at
+            if run.registered and stale and not run.renewing:
+                run.renewing = True
+                self.spawn(self._renew(request_id, run))
+
+    def _wanted_at(
+        self, request_id: bytes, view: membership_view.MembershipView
+    ) -> set[tuple[str, int]]:
+        names = mirror.replica_names(request_id, view.listed)
+        records = view.instances
+        return {
+            (name, records[name].incarnation)
+            for name in names
+            if name in records
+        }
+
+    def _note_known(self, run: _Run, ballot: _Ballot) -> None:
+        records = self._members.view().instances
+        for name, answer in ballot.answers.items():
+            if answer.granted and name in records:
+                run.known_at.add((name, records[name].incarnation))
+
+    async def _renew(self, request_id: bytes, run: _Run) -> None:
+        while self._runs.get(request_id) is run:
+            view = self._members.view()
+            missing = self._wanted_at(request_id, view) - run.known_at
+            if not missing:
+                break
+            for name, incarnation in sorted(missing):
+                if await self._renew_at(name, request_id, run):
+                    run.known_at.add((name, incarnation))
+            await asyncio.sleep(RENEW_S)
+        run.renewing = False
+
+    async def _renew_at(self, name: str, request_id: bytes, run: _Run) -> bool:
+        held = _holder(self._members.view().own, run)
+        answer = await self._network.request(
+            name, peers.RegisterRun(request_id, *held), REGISTER_TIMEOUT_S
+        )
+        if answer.is_error() or answer.ok is None:
+            return False
+        if answer.ok.generation > run.generation:
+            if not await self.prove(request_id):
+                self._drop(request_id, run)
+                self._fenced(request_id)
+            return True
+        if answer.ok.granted and run.engine:
+            placed = peers.RunPlaced(request_id, run.generation, run.engine)
+            await self._tell(name, placed)
+        return answer.ok.granted
+
+
+def _holder(own: Any, run: _Run) -> tuple[int, str, int]:
+    return (run.generation, own.name, own.incarnation)
+
+
+def _union(sets: tuple[tuple[str, ...], ...]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(name for names in sets for name in names))
+
+
+def _refusal(ballot: _Ballot, own: Any) -> errors.SeamError:
+    refused = [a for a in ballot.answers.values() if not a.granted]
+    for answer in refused:
+        if answer.ended:
+            return errors.AlreadyEnded(answer.ended)
+    for answer in refused:
+        if answer.instance and answer.instance != own.name:
+            return errors.AlreadyRunning(answer.instance)
+    return ballot.shortfall()
--- /dev/null
+++ b/tests/seam_node/controllers/test_registry.py
@@ -0,0 +1,246 @@
+"""At most one run per request, whatever fails in between."""
+
+import asyncio
+import random
+
+import pytest
+
+from seam_model import errors
+from seam_node.controllers import membership
+from seam_node.controllers import mirror
+from seam_node.controllers import registry
+from tests.seam_node.controllers import peer_world
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+def ident(n):
+    return n.to_bytes(16, "big")
+
+
+class Node:
+    """One instance with its mirror and registry."""
+
+    def __init__(self, world, name, incarnation=1):
+        clock = peer_world.CLOCK
+        self.network = peer_world.MemoryNetwork(world, name)
+        self.members = membership.MembershipController(
+            peer_world.record(name, incarnation),
+            peer_world.MemoryPlatform(world),
+            self.network,
+            clock,
+            random.Random(f"{name}{incarnation}"),
+        )
+        self.let_go = []
+        self.cancelled = []
+        self.registry = registry.Registry(
+            self.members, self.network, clock, self.on_let_go
+        )
+        self.mirror = mirror.Mirror(
+            self.members,
+            self.network,
+            clock,
+            self.on_cancel,
+            self.registry.own_runs,
+        )
+
+    async def on_let_go(self, request_id):
+        self.let_go.append(request_id)
+
+    async def on_cancel(self, engine, request_id, generation):
+        self.cancelled.append((engine, request_id, generation))
+        return True
+
+    async def start(self):
+        await self.network.start()
+        for part in (self.members, self.registry, self.mirror):
+            await part.start()
+        return self
+
+    async def stop(self):
+        await self.network.close()
+        for part in (self.members, self.registry, self.mirror):
+            await part.close()
+
+
+async def fleet(seed, names=NAMES):
+    world = peer_world.World(random.Random(seed))
+    nodes = {name: await Node(world, name).start() for name in names}
+    await asyncio.sleep(20)
+    assert not any(node.mirror.warming for node in nodes.values())
+    return world, nodes
+
+
+def replicas(node, request_id):
+    return mirror.replica_names(request_id, node.members.view().listed)
+
+
+def replicated_at(nodes, *, without):
+    for n in range(1000):
+        names = replicas(nodes["a"], ident(n))
+        if without not in names:
+            return ident(n), names
+    raise AssertionError
+
+
+def kind(result):
+    return type(result.ok if result.is_ok() else result.error)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_same_instant_arrivals_run_at_most_once(seed):
+    async def main():
+        _, nodes = await fleet(seed)
+        won = 0
+        for n in range(40):
+            results = await asyncio.gather(
+                *(nodes[name].registry.begin(ident(n)) for name in NAMES)
+            )
+            granted = [r for r in results if r.is_ok()]
+            assert len(granted) <= 1
+            won += len(granted)
+        assert won > 0
+
+    peer_world.run(main())
+
+
+def test_an_ended_run_is_not_run_again():
+    async def main():
+        _, nodes = await fleet(11)
+        assert (await nodes["a"].registry.begin(ident(1))).is_ok()
+        nodes["a"].registry.ended(ident(1), "answered")
+        await asyncio.sleep(1)
+        again = await nodes["b"].registry.begin(ident(1))
+        assert again.error == errors.AlreadyEnded("answered")
+        over = await nodes["b"].registry.take_over(ident(1))
+        assert over.error == errors.AlreadyEnded("answered")
+
+    peer_world.run(main())
+
+
+def test_a_live_holder_hands_over():
+    async def main():
+        _, nodes = await fleet(12)
+        await nodes["a"].registry.begin(ident(1))
+        nodes["a"].registry.placed(ident(1), "engine-3")
+        await asyncio.sleep(1)
+        refused = await nodes["b"].registry.begin(ident(1))
+        assert refused.error == errors.AlreadyRunning("a")
+        over = await nodes["b"].registry.take_over(ident(1))
+        assert over.ok == registry.TakeOver("engine-3", 2)
+        assert nodes["a"].let_go == [ident(1)]
+        assert not await nodes["a"].registry.prove(ident(1))
+        assert await nodes["b"].registry.prove(ident(1))
+        unknown = await nodes["b"].registry.take_over(ident(2))
+        assert unknown.error == errors.RunUnknown()
+
+    peer_world.run(main())
+
+
+def test_a_dead_holder_is_fenced_and_its_run_not_cancelled():
+    async def main():
+        _, nodes = await fleet(13)
+        request_id, _ = replicated_at(nodes, without="a")
+        await nodes["a"].registry.begin(request_id)
+        nodes["a"].registry.placed(request_id, "engine-3")
+        await asyncio.sleep(1)
+        await nodes["a"].stop()
+        over = await nodes["b"].registry.take_over(request_id)
+        assert over.ok == registry.TakeOver("engine-3", 2)
+        await asyncio.sleep(60)
+        assert not any(node.cancelled for node in nodes.values())
+
+    peer_world.run(main())
+
+
+def test_what_no_caller_came_back_for_is_cancelled_once():
+    async def main():
+        _, nodes = await fleet(14)
+        request_id, _ = replicated_at(nodes, without="a")
+        await nodes["a"].registry.begin(request_id)
+        nodes["a"].registry.placed(request_id, "engine-3")
+        await asyncio.sleep(1)
+        await nodes["a"].stop()
+        await asyncio.sleep(30)
+        cancelled = [c for node in nodes.values() for c in node.cancelled]
+        assert cancelled == [("engine-3", request_id, 1)]
+
+    peer_world.run(main())
+
+
+def test_a_cut_gives_the_run_to_one_side_only():
+    async def main():
+        world, nodes = await fleet(15)
+        for n in range(30):
+            request_id = ident(n)
+            side = replicas(nodes["a"], request_id)[0]
+            rest = [name for name in NAMES if name != side]
+            world.part([side], rest)
+            one, two = await asyncio.gather(
+                nodes[side].registry.begin(request_id),
+                nodes[rest[0]].registry.begin(request_id),
+            )
+            assert one.error == errors.NoQuorum(1, 2)
+            assert two.is_ok()
+            over = await nodes[side].registry.take_over(request_id)
+            assert isinstance(over.error, errors.NoQuorum)
+            world.cut = set()
+
+    peer_world.run(main())
+
+
+def test_a_woken_owner_finds_that_it_was_replaced():
+    async def main():
+        world, nodes = await fleet(16)
+        request_id, _ = replicated_at(nodes, without="a")
+        await nodes["a"].registry.begin(request_id)
+        assert await nodes["a"].registry.prove(request_id)
+        world.part("a", "bcde")
+        over = await nodes["b"].registry.take_over(request_id)
+        assert over.ok.generation == 2
+        assert not await nodes["a"].registry.prove(request_id)
+        world.cut = set()
+        assert not await nodes["a"].registry.prove(request_id)
+
+    peer_world.run(main())
+
+
+def test_restarted_mirrors_do_not_let_a_second_run_through():
+    async def main():
+        world, nodes = await fleet(17)
+        request_id, names = replicated_at(nodes, without="a")
+        await nodes["a"].registry.begin(request_id)
+        other = next(n for n in NAMES if n != "a" and n not in names)
+        for name in names[:2]:
+            await nodes[name].stop()
+        world.part("a", NAMES[1:])
+        for name in names[:2]:
+            nodes[name] = await Node(world, name, 2).start()
+        for _ in range(30):
+            again = await nodes[other].registry.begin(request_id)
+            assert again.is_error()
+            await asyncio.sleep(0.25)
+        world.cut = set()
+        await asyncio.sleep(20)
+        assert not nodes[names[0]].mirror.warming
+        again = await nodes[other].registry.begin(request_id)
+        assert again.error == errors.AlreadyRunning("a")
+
+    peer_world.run(main())
+
+
+def test_a_run_follows_its_replicas_when_the_list_changes():
+    async def main():
+        world, nodes = await fleet(18)
+        begun = [ident(n) for n in range(40)]
+        for request_id in begun:
+            assert (await nodes["a"].registry.begin(request_id)).is_ok()
+        for name in ("f", "g"):
+            nodes[name] = await Node(world, name).start()
+        for _ in range(60):
+            await asyncio.sleep(0.5)
+            taker = nodes["b"].registry
+            results = [await taker.begin(r) for r in begun]
+            assert not any(result.is_ok() for result in results)
+
+    peer_world.run(main())
