--- a/packages/seam_node/seam_node/controllers/ownership.py
+++ b/packages/seam_node/seam_node/controllers/ownership.py
@@ -21,6 +21,7 @@
         """Takes the live instances and the endpoints."""
         self._live = live
         self._directory = directory
+        self._sites: tuple[rendezvous.Site, ...] = ()
         self._table = rendezvous.SiteTable(())
 
     def owner_of(self, engine: str) -> str | None:
@@ -36,7 +37,8 @@
 
     def _owner(self, key: str, data_centre: str) -> str | None:
         live = self._live()
-        if live != self._table.sites:
+        if live != self._sites:
+            self._sites = live
             self._table = rendezvous.SiteTable(live)
         site = self._table.owner(key.encode(), data_centre)
         return site.name if site else None
