--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -0,0 +1,359 @@
+"""Keeps the newest fleet configuration and applies operators' changes.
+
+New versions are learned from the platform's watch and from peers; either is
+enough, and a version below the held one is never taken.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+from typing import Any
+
+import attrs
+import expression
+
+from seam_model import config
+from seam_model import config_check
+from seam_model import errors
+from seam_model import peers
+from seam_node import task
+from seam_node.ports import clock as clock_port
+from seam_node.ports import peer as peer_port
+from seam_node.ports import platform as platform_port
+
+RETRY_S = 0.5
+PEER_TIMEOUT_S = 2.0
+SETTLE_TRIES = 6
+
+Listener = Callable[[config.FleetConfig], None]
+
+
+@attrs.frozen
+class _Heard:
+    peer: str
+    version: int
+
+
+@attrs.frozen
+class _Base:
+    cfg: config.FleetConfig
+    object_version: int
+
+
+class ConfigController(task.Task):
+    """Holds the configuration of one instance."""
+
+    def __init__(
+        self,
+        platform: platform_port.Platform,
+        network: peer_port.PeerNetwork,
+        clock: clock_port.Clock,
+        live_peers: Callable[[], Iterable[str]],
+        watch_s: float,
+        silent_s: float,
+    ):
+        """Takes ports, the names of live peers, and times in seconds."""
+        super().__init__("config")
+        self._platform = platform
+        self._network = network
+        self._clock = clock
+        self._live_peers = live_peers
+        self._watch_s = watch_s
+        self._silent_s = silent_s
+        self._cfg: config.FleetConfig | None = None
+        self._object_version = platform_port.ABSENT
+        self._highest = 0
+        self._confirmed = False
+        self._served = False
+        self._heard_at = clock.monotonic()
+        self._listeners: list[Listener] = []
+        self._fetching: set[str] = set()
+        network.handle(peers.ConfigFetch, self._answer_fetch)
+
+    async def start(self) -> None:
+        """Starts following the platform and peers."""
+        await super().start()
+        self.spawn(self._follow())
+
+    async def receive(self, message: Any) -> None:
+        """Fetches from a peer that named a higher version."""
+        if not isinstance(message, _Heard):
+            return
+        self._heard_at = self._clock.monotonic()
+        self._highest = max(self._highest, message.version)
+        if (
+            message.version > self._held()
+            and message.peer not in self._fetching
+        ):
+            self.spawn(self._fetch(message.peer))
+
+    # What is in force
+
+    def current(self) -> config.FleetConfig | None:
+        """Returns the configuration, or None while it may be outdated."""
+        return self._cfg if self._served else None
+
+    def version(self) -> int:
+        """Returns the version held; 0 when none is."""
+        return max(self._held(), 0)
+
+    def subscribe(self, callback: Listener) -> None:
+        """Calls back with each newer configuration."""
+        self._listeners.append(callback)
+
+    def heard(self, peer: str, version: int) -> None:
+        """Notes the version in a peer's heartbeat."""
+        self.tell(_Heard(peer, version))
+
+    def freshness(
+        self, now: float
+    ) -> expression.Result[float, errors.ConfigStale]:
+        """Returns for how many seconds nobody was heard.
+
+        Errors: `ConfigStale` when that is above the bound.
+        """
+        silent_s = max(0.0, now - self._heard_at)
+        if silent_s > self._silent_s:
+            return expression.Error(errors.ConfigStale(silent_s))
+        return expression.Ok(silent_s)
+
+    def _held(self) -> int:
+        return -1 if self._cfg is None else self._cfg.version
+
+    def _offer(self, cfg: config.FleetConfig) -> None:
+        if cfg.version <= self._held():
+            self._note_served()
+            return
+        self._cfg = cfg
+        self._note_served()
+        for listener in tuple(self._listeners):
+            listener(cfg)
+
+    def _note_served(self) -> None:
+        if self._confirmed and self._held() >= self._highest:
+            self._served = True
+
+    # Learning
+
+    async def _follow(self) -> None:
+        while True:
+            if not self._confirmed:
+                result = await self._platform.get(config.CONFIG_KEY)
+            else:
+                result = await self._platform.watch(
+                    config.CONFIG_KEY, self._object_version, self._watch_s
+                )
+            if self._take(result):
+                continue
+            if not self._confirmed and not self._is_missing(result):
+                await self._ask_peers()
+            await asyncio.sleep(RETRY_S)
+
+    def _is_missing(self, result: expression.Result) -> bool:
+        return result.is_error() and isinstance(
+            result.error, errors.ObjectMissing
+        )
+
+    def _take(self, result: expression.Result) -> bool:
+        """Takes the platform's answer; returns whether to ask again now."""
+        if result.is_error():
+            if not isinstance(result.error, errors.ObjectMissing):
+                return False
+            self._heard_at = self._clock.monotonic()
+            self._confirmed = True
+            self._offer(config_check.initial())
+            return False
+        self._heard_at = self._clock.monotonic()
+        stored = result.ok
+        if stored is None:
+            return True
+        decoded = config_check.decode(stored.data)
+        if decoded.is_error():
+            return False
+        self._object_version = max(self._object_version, stored.version)
+        self._confirmed = True
+        self._offer(decoded.ok)
+        return True
+
+    async def _ask_peers(self) -> None:
+        """Takes the live peers' word while the platform is down."""
+        names = tuple(self._live_peers())
+        answers = await asyncio.gather(*(self._fetch(name) for name in names))
+        if names and all(answers) and self._cfg is not None:
+            self._confirmed = True
+            self._note_served()
+
+    async def _fetch(self, peer: str) -> bool:
+        """Returns whether the peer said what it has."""
+        self._fetching.add(peer)
+        message = peers.ConfigFetch(self._held())
+        try:
+            result = await self._network.request(peer, message, PEER_TIMEOUT_S)
+        finally:
+            self._fetching.discard(peer)
+        if result.is_error() or not isinstance(result.ok, peers.ConfigObject):
+            return False
+        self._heard_at = self._clock.monotonic()
+        self._highest = max(self._highest, result.ok.version)
+        if result.ok.data:
+            decoded = config_check.decode(result.ok.data)
+            if decoded.is_error():
+                return False
+            self._offer(decoded.ok)
+        return True
+
+    async def _answer_fetch(
+        self, _peer: str, message: peers.ConfigFetch
+    ) -> peers.ConfigObject:
+        if self._cfg is None or self._cfg.version <= message.above_version:
+            return peers.ConfigObject(self.version(), b"")
+        data = config_check.encode(self._cfg)
+        return peers.ConfigObject(self._cfg.version, data)
+
+    # Changing
+
+    async def apply(
+        self,
+        draft: config.Draft,
+        who: str,
+        why: str,
+        expected_version: int,
+        change_id: str,
+    ) -> expression.Result[config.Change, errors.SeamError]:
+        """Makes `draft` the next version, by a conditional update.
+
+        Errors: `ConfigInvalid`, `ConfigConflict` or a `PlatformError`;
+        `PlatformAmbiguous` when the outcome could not be settled.
+        """
+        checked = config_check.check_draft(draft)
+        problems = list(checked.error.problems) if checked.is_error() else []
+        for name, text in (
+            ("who", who),
+            ("why", why),
+            ("change_id", change_id),
+        ):
+            if not text.strip():
+                problems.append(errors.BadInput(name, text, "a text"))
+        if problems:
+            return expression.Error(errors.ConfigInvalid(tuple(problems)))
+        sent = False
+        for _ in range(SETTLE_TRIES):
+            read = await self._read_base()
+            if read.is_error():
+                if not sent:
+                    return read
+                await asyncio.sleep(RETRY_S)
+                continue
+            cfg = read.ok.cfg
+            for change in cfg.changes:
+                if change.change_id == change_id:
+                    self._offer(cfg)
+                    return expression.Ok(change)
+            if cfg.version != expected_version:
+                return expression.Error(_conflict(cfg))
+            new = self._next(cfg, checked.ok, who, why, change_id)
+            result = await self._write(read.ok.object_version, new)
+            if result.is_ok():
+                self._offer(result.ok)
+                return expression.Ok(result.ok.changes[-1])
+            if isinstance(result.error, errors.PlatformAmbiguous):
+                sent = True
+            elif not sent and not isinstance(
+                result.error, errors.VersionConflict
+            ):
+                return result
+            await asyncio.sleep(RETRY_S)
+        if sent:
+            return expression.Error(errors.PlatformAmbiguous("apply"))
+        return expression.Error(errors.PlatformUnavailable("apply"))
+
+    async def _read_base(self) -> expression.Result[_Base, errors.SeamError]:
+        result = await self._platform.get(config.CONFIG_KEY)
+        if self._is_missing(result):
+            base = _Base(config_check.initial(), platform_port.ABSENT)
+        elif result.is_error():
+            return result
+        else:
+            decoded = config_check.decode(result.ok.data)
+            if decoded.is_error():
+                return decoded
+            base = _Base(decoded.ok, result.ok.version)
+        if base.cfg.version < self._held():
+            return expression.Error(errors.PlatformUnavailable("stale read"))
+        return expression.Ok(base)
+
+    def _next(
+        self,
+        old: config.FleetConfig,
+        draft: config.Draft,
+        who: str,
+        why: str,
+        change_id: str,
+    ) -> config.FleetConfig:
+        stamp = datetime.datetime.fromtimestamp(
+            self._clock.wall(), datetime.UTC
+        )
+        when = stamp.isoformat(timespec="seconds")
+        known = {rule.id: rule for rule in old.exceptions}
+        rules = []
+        for rule in draft.exceptions:
+            before = known.get(rule.id, rule)
+            signed = attrs.evolve(rule, who=before.who, when=before.when)
+            if rule.id not in known or signed != before:
+                signed = attrs.evolve(rule, who=who, when=when)
+            rules.append(signed)
+        what = config_check.differences(old.draft(), draft)
+        version = old.version + 1
+        change = config.Change(version, who, when, why, what, change_id)
+        changes = (*old.changes, change)
+        return config.FleetConfig(
+            version, draft.defaults, tuple(rules), changes
+        )
+
+    async def _write(
+        self, object_version: int, new: config.FleetConfig
+    ) -> expression.Result[config.FleetConfig, errors.SeamError]:
+        """Moves old changes out, then writes the object."""
+        while _too_long(new):
+            moved = await self._move_out(new.changes[0])
+            if moved.is_error():
+                return moved
+            new = attrs.evolve(new, changes=new.changes[1:])
+        data = config_check.encode(new)
+        if len(data) > config.OBJECT_MAX_BYTES:
+            allowed = f"at most {config.OBJECT_MAX_BYTES} bytes"
+            problem = errors.BadInput("config", f"{len(data)} bytes", allowed)
+            return expression.Error(errors.ConfigInvalid((problem,)))
+        result = await self._platform.put(
+            config.CONFIG_KEY, data, object_version
+        )
+        return result.map(lambda _: new)
+
+    async def _move_out(
+        self, change: config.Change
+    ) -> expression.Result[None, errors.PlatformError]:
+        """Writes an accepted change to its own object, once for ever."""
+        key = f"{config.AUDIT_PREFIX}{change.version:06d}"
+        data = config_check.encode(change)
+        result = await self._platform.put(key, data, platform_port.ABSENT)
+        if result.is_error() and not isinstance(
+            result.error, errors.VersionConflict
+        ):
+            return expression.Error(errors.PlatformUnavailable("audit"))
+        return expression.Ok(None)
+
+
+def _too_long(cfg: config.FleetConfig) -> bool:
+    if len(cfg.changes) > config.CHANGES_KEPT:
+        return True
+    size = len(config_check.encode(cfg))
+    return size > config.OBJECT_MAX_BYTES and len(cfg.changes) > 1
+
+
+def _conflict(cfg: config.FleetConfig) -> errors.ConfigConflict:
+    if not cfg.changes:
+        return errors.ConfigConflict(cfg.version, "", "", "")
+    last = cfg.changes[-1]
+    what = "; ".join(last.what)
+    return errors.ConfigConflict(cfg.version, last.who, last.when, what)
