--- a/packages/seam_node/seam_node/controllers/planner.py
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -1,6 +1,7 @@
 """Feeds the placement policy with what this instance knows."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 
 import attrs
 
@@ -46,7 +47,7 @@
         policy: placement.Placement,
         distances: settings.DistanceSettings,
         data_centre: str,
-        model_settings: Callable[[str], config.ModelDefaults | None],
+        model_settings: Callable[[str], config.ModelRule | None],
         clk: clock.Clock,
         seed: int,
     ):
@@ -97,7 +98,10 @@
         ]
 
     def prefill_order(
-        self, req: requests.GenerateRequest, decode: str, excluded: set[str]
+        self,
+        req: requests.GenerateRequest,
+        decode: str,
+        excluded: Collection[str],
     ) -> tuple[placement.PrefillChoice, ...]:
         """Returns the prefill engines to try, the best first."""
         need = placement.PrefillNeed(
@@ -107,8 +111,9 @@
             self._kv_bytes(req.model),
             req.adapter,
         )
+        hashes = prefix.prefix_hashes(req.prompt, req.model)
         candidates = [
-            self._prefill_candidate(record, decode, req)
+            self._prefill_candidate(record, decode, req, hashes)
             for record in self._directory.engines(
                 endpoints.EngineRole.PREFILL, req.model, req.adapter
             )
@@ -127,14 +132,23 @@
         left = self._sent_tokens.get(name, 0) - tokens
         self._sent_tokens[name] = max(0, left)
 
-    def learn_rate(self, name: str, tokens: int, took_s: float) -> None:
-        """Learns a prefill engine's rate from an unshared prefill."""
-        if took_s <= 0 or self._sent_tokens.get(name, 0) > tokens:
+    def prefilled(
+        self,
+        name: str,
+        req: requests.GenerateRequest,
+        cached_tokens: int,
+        took_s: float,
+    ) -> None:
+        """Learns an engine's prefixes, and its rate if it was not shared."""
+        hashes = prefix.prefix_hashes(req.prompt, req.model)
+        self.prefixes.note_prefill(name, hashes)
+        computed = req.prompt_tokens - cached_tokens
+        if took_s <= 0 or computed <= 0 or self._sent_tokens.get(name, 0):
             return
         rate = self._rates.setdefault(
             name, estimate.Ewma(PREFILL_TOKENS_PER_S)
         )
-        rate.add(tokens / took_s)
+        rate.add(computed / took_s)
 
     def transfer_started(self, name: str) -> None:
         """Counts a transfer out of a prefill engine."""
@@ -158,7 +172,7 @@
         return known.kv_bytes_per_token if known else 0
 
     def _lead_s(self, req: requests.GenerateRequest, decode: str) -> float:
-        choices = self.prefill_order(req, decode, set())
+        choices = self.prefill_order(req, decode, frozenset())
         return choices[0].lead_s if choices else 0.0
 
     def _decode_candidate(
@@ -190,6 +204,7 @@
         record: endpoints.EndpointRecord,
         decode: str,
         req: requests.GenerateRequest,
+        hashes: tuple[int, ...],
     ) -> placement.PrefillCandidate:
         load = self._loads.get(record.name, _Load())
         sent = self._sent_tokens.get(record.name, 0)
@@ -200,7 +215,9 @@
             name=record.name,
             models=record.models,
             adapters=record.adapters,
-            prefix_tokens=self.prefixes.match(record.name, req.prompt),
+            prefix_tokens=self.prefixes.expected_tokens(
+                record.name, hashes, req.prompt_tokens
+            ),
             backlog_tokens=max(sent, load.queued_tokens),
             tokens_s=rate.value if rate else PREFILL_TOKENS_PER_S,
             link_bytes_s=self._distances.link_bytes_per_s,
--- a/packages/seam_node/seam_node/controllers/registry.py
+++ b/packages/seam_node/seam_node/controllers/registry.py
@@ -192,6 +192,12 @@
             self.placed(request_id, run.engine)
         return expression.Ok(TakeOver(run.engine, generation))
 
+    async def holders(self, request_id: bytes) -> set[str]:
+        """Returns the instances that the mirrors say hold the run."""
+        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        answers = ballot.answers.values()
+        return {a.instance for a in answers if a.instance and not a.ended}
+
     async def prove(self, request_id: bytes) -> bool:
         """Tells whether a majority still knows this run as the newest."""
         run = self._runs.get(request_id)
--- a/packages/seam_node/seam_node/controllers/runs.py
+++ b/packages/seam_node/seam_node/controllers/runs.py
@@ -55,6 +55,8 @@
     """Number of the current attempt at the engine."""
     stop: Stop | None = None
     stream: engine.DecodeStream | None = None
+    wakes: int = 0
+    """Pauses of the process that this run was proved after."""
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     let_go: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set once this instance will send no more of the stream."""
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -66,6 +66,8 @@
     stream: engine.DecodeStream | None = None
     decode: endpoints.EndpointRecord | None = None
     reply: requests.ServiceReply | None = None
+    refusal: requests.Refusal | None = None
+    retry_after_s: float = 1.0
     lead_s: float = 0.0
     attempt: int = 0
     excluded: set[str] = attrs.field(factory=set)
--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -8,6 +8,7 @@
 from seam_model import errors
 from seam_model import ids
 from seam_node.controllers import engines
+from seam_node.controllers import liveness
 from seam_node.controllers import registry
 from seam_node.controllers import runs
 from seam_node.filters import base
@@ -26,12 +27,14 @@
         self,
         table: runs.RunTable,
         registry_: registry.Registry,
+        proof: liveness.Proof,
         directory: engines.EngineDirectory,
         owner: str,
     ):
         """Takes the runs, the registry, the engines and our own name."""
         self._table = table
         self._registry = registry_
+        self._proof = proof
         self._directory = directory
         self._owner = owner
         self._cancels: set[asyncio.Task] = set()
@@ -43,6 +46,7 @@
         if held.is_error():
             return base.fail(held.error)
         ctx.run = held.ok
+        self._proof.mark(ctx.run)
         self._table.add(ctx.run)
         self._table.add_trace(ctx.trace)
         result = base.fail(errors.Cancelled("internal"))
--- a/packages/seam_node/seam_node/filters/identify.py
+++ b/packages/seam_node/seam_node/filters/identify.py
@@ -15,8 +15,8 @@
 
     name = "identify"
 
-    def __init__(self, secrets: Mapping[str, bytes]):
-        """Takes the signing secrets by key id."""
+    def __init__(self, secrets: Mapping[str, str]):
+        """Takes the signing secrets, in hex, by key id."""
         self._secrets = secrets
 
     async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
@@ -26,6 +26,6 @@
         token = ""
         if header[: len(_SCHEME)].lower() == _SCHEME:
             token = header[len(_SCHEME) :].strip()
-        if not keys.verify_workspace_token(self._secrets, workspace, token):
+        if not keys.verify_workspace_token(self._secrets, token, workspace):
             return base.fail(errors.WorkspaceUnknown(workspace))
         return await proceed(ctx)
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -8,13 +8,12 @@
 from seam_model import errors
 from seam_model import ids
 from seam_model import peers
-from seam_node import logs
 from seam_node.controllers import engines
 from seam_node.controllers import ownership
+from seam_node.controllers import planner
 from seam_node.controllers import runs
 from seam_node.filters import base
 from seam_node.ports import peer
-from seam_policy import placement
 
 CANDIDATES = 2
 ANSWER_MARGIN_S = 0.25
@@ -37,17 +36,15 @@
     def __init__(
         self,
         directory: engines.EngineDirectory,
-        ownership_: ownership.Ownership,
+        owners: ownership.Ownership,
         network: peer.PeerNetwork,
-        planner: ownership.Planner,
-        log: logs.Log,
+        plan: planner.Planner,
     ):
-        """Takes the engines, their owners, the peers and the policy."""
+        """Takes the engines, their owners, the peers and the planner."""
         self._directory = directory
-        self._ownership = ownership_
+        self._ownership = owners
         self._network = network
-        self._planner = planner
-        self._log = log
+        self._planner = plan
 
     async def apply(self, ctx: base.Context, proceed: base.Proceed) -> base.Result:
         """Reserves a slot, passes on, and releases the slot."""
@@ -78,7 +75,7 @@
         return result
 
     async def _reserve(self, ctx: base.Context) -> _Slot | errors.SeamError:
-        order = self._planner.decode_order(ctx)
+        order = self._planner.decode_order(ctx.generate, ctx.excluded)
         if not order:
             return errors.NoEndpoint(f"decode engine for {ctx.generate.model}")
         if not self._planner.reserves:
@@ -98,7 +95,7 @@
         return last
 
     async def _ask(
-        self, ctx: base.Context, candidate: placement.Choice, owner: str
+        self, ctx: base.Context, candidate: planner.DecodeChoice, owner: str
     ) -> _Slot | errors.SeamError:
         req = ctx.generate
         wait_s = self._wait_limit(ctx, candidate)
@@ -123,7 +120,6 @@
         answered = await runs.until_stopped(ctx.run, asyncio.shield(asked))
         if answered is None:
             slot = _Slot(candidate.name, owner)
-            asked.add_done_callback(lambda _: None)
             self._release(ctx, slot, failed=False)
             return errors.Cancelled("caller")
         if answered.is_error():
@@ -137,7 +133,7 @@
         ctx.lead_s = candidate.lead_s
         return _Slot(candidate.name, owner)
 
-    def _wait_limit(self, ctx: base.Context, choice: placement.Choice) -> float:
+    def _wait_limit(self, ctx: base.Context, choice: planner.DecodeChoice) -> float:
         """Returns the longest useful wait for a slot, in seconds."""
         waited_s = ctx.now() - ctx.arrived_at
         target_s = ctx.generate.targets.first_token_s
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -40,7 +40,7 @@
         self,
         directory: engines.EngineDirectory,
         plan: planner.Planner,
-        registry_: registry.RunRegistry,
+        registry_: registry.Registry,
         meter: metrics.Metrics,
         owner: str,
     ):
@@ -110,12 +110,9 @@
         if done.is_error():
             await self._prefill_failed(ctx, name, done.error)
             return done
-        self._planner.learn_rate(
-            name,
-            req.prompt_tokens - done.ok.cached_tokens,
-            ctx.now() - started_at,
+        self._planner.prefilled(
+            name, req, done.ok.cached_tokens, ctx.now() - started_at
         )
-        self._planner.prefixes.stored(name, req.prompt)
         record = self._directory.record(name)
         return expression.Ok(
             _Prefilled(
@@ -171,7 +168,7 @@
             self._owner,
             req.adapter,
         )
-        self._registry.placed(req.request_id, name)
+        self._registry.placed(ids.pack(req.request_id), name)
         self._planner.transfer_started(kv.engine)
         decode = asyncio.ensure_future(
             self._directory.engine(name).decode(order, DECODE_TIMEOUT_S)
--- /dev/null
+++ b/packages/seam_node/seam_node/node.py
@@ -0,0 +1,432 @@
+"""Puts one instance together from its ports and settings."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import attrs
+
+from seam_model import config
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import ids
+from seam_model import peers
+from seam_model import requests
+from seam_model import settings as node_settings
+from seam_node import entry
+from seam_node import logs
+from seam_node import metrics
+from seam_node.controllers import claims
+from seam_node.controllers import config as config_controller
+from seam_node.controllers import drain
+from seam_node.controllers import engine_watch
+from seam_node.controllers import engines
+from seam_node.controllers import liveness
+from seam_node.controllers import membership
+from seam_node.controllers import membership_view
+from seam_node.controllers import mirror
+from seam_node.controllers import owner
+from seam_node.controllers import ownership
+from seam_node.controllers import planner
+from seam_node.controllers import reaper
+from seam_node.controllers import registry
+from seam_node.controllers import runs
+from seam_node.filters import account
+from seam_node.filters import base
+from seam_node.filters import call
+from seam_node.filters import claim
+from seam_node.filters import deduplicate
+from seam_node.filters import identify
+from seam_node.filters import leave
+from seam_node.filters import limit
+from seam_node.filters import parse
+from seam_node.filters import place
+from seam_node.filters import retry
+from seam_node.filters import stream
+from seam_node.filters import transfer
+from seam_node.ports import clock
+from seam_node.ports import engine
+from seam_node.ports import peer
+from seam_node.ports import platform
+from seam_node.ports import service
+from seam_policy import limits
+from seam_policy import placement
+from seam_policy import retry as retry_policy
+
+START_PAUSE_S = 0.05
+
+
+@attrs.frozen
+class Ports:
+    """Everything outside the instance."""
+
+    clock: clock.Clock
+    platform: platform.Platform
+    peers: peer.PeerNetwork
+    engines: engine.EngineFactory
+    services: service.Service
+
+
+class Node:
+    """One entry instance: its controllers and its two filter chains."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        record: endpoints.InstanceRecord,
+        ports: Ports,
+        rng: random.Random,
+        policy: placement.Placement | None = None,
+    ):
+        """Wires controllers and filters; call inside a running loop.
+
+        Args:
+            settings: The instance's settings.
+            record: How the instance announces itself.
+            ports: What it talks to.
+            rng: Source of nonces and jitter.
+            policy: Placement to use in place of the product's own.
+        """
+        self.settings = settings
+        self.record = record
+        self.ports = ports
+        self.rng = rng
+        self.log = logs.Log(record.name)
+        self.metrics = metrics.Metrics()
+        self.runs = runs.RunTable()
+        self.owner_id = f"{record.name}/{record.incarnation}"
+        self.directory = engines.EngineDirectory(ports.engines, ports.clock)
+        self._make_membership()
+        self._make_engines(policy or placement.Product())
+        self._make_orders()
+        self._make_drain()
+        self._limiter = limits.WorkspaceLimiter(
+            limits.WorkspaceLimits(1000.0, 1000.0, 1000)
+        )
+        self._budget = retry_policy.RetryBudget()
+        self.config.subscribe(self._on_config)
+        self.generate_chain = base.Chain(self._generate_filters())
+        self.service_chain = base.Chain(self._service_filters())
+        self._tasks = (
+            self.config,
+            self.members,
+            self.registry,
+            self.mirror,
+            self.claims,
+            self.owner,
+            self.watch,
+            self.drain,
+        )
+
+    # Life
+
+    async def start(self) -> None:
+        """Starts links and controllers; returns before the node is ready."""
+        await self.ports.platform.start()
+        await self.ports.peers.start()
+        for task in self._tasks:
+            await task.start()
+        self.log.event("instance_started", data_centre=self.record.data_centre)
+
+    async def close(self) -> None:
+        """Closes controllers and links."""
+        for task in reversed(self._tasks):
+            await task.close()
+        await self.ports.peers.close()
+        await self.ports.engines.close()
+        await self.ports.services.close()
+        await self.ports.platform.close()
+        self.log.event("instance_stopped")
+
+    async def wait_ready(self) -> None:
+        """Waits until the instance can serve."""
+        while self.not_ready() is not None:
+            await asyncio.sleep(START_PAUSE_S)
+
+    def not_ready(self) -> errors.SeamError | None:
+        """Returns why no new work is taken, or None."""
+        if self.config.current() is None:
+            return errors.InstanceNotReady("no confirmed configuration yet")
+        if self.members.view().fleet_at is None:
+            return errors.InstanceNotReady("no list of the fleet yet")
+        fresh = self.config.freshness(self.ports.clock.monotonic())
+        return fresh.error if fresh.is_error() else None
+
+    # Requests
+
+    async def generate(
+        self, raw: base.RawRequest, sink: base.Sink
+    ) -> base.Context:
+        """Runs a model request; `ctx.refusal` says how it failed, if so."""
+        return await self._run(self.generate_chain, raw, sink)
+
+    async def call_service(
+        self, raw: base.RawRequest, sink: base.Sink
+    ) -> base.Context:
+        """Runs a service call; the reply is `ctx.reply`."""
+        return await self._run(self.service_chain, raw, sink)
+
+    async def cancel(self, request_id: str) -> bool:
+        """Cancels a run here or where its mirrors say it is."""
+        if await self.runs.stop(request_id, runs.Stop.CANCELLED) is not None:
+            return True
+        packed = ids.pack(request_id)
+        names = {site.name for site in self.members.view().live}
+        names.discard(self.record.name)
+        holders = await self.registry.holders(packed)
+        for name in holders & names:
+            answer = await self.ports.peers.request(
+                name, peers.CancelRun(packed), registry.HAND_OVER_TIMEOUT_S
+            )
+            if answer.is_ok() and answer.ok.known:
+                return True
+        return False
+
+    def entry_answer(self, workspace: str) -> requests.EntryAnswer:
+        """Returns which instances a caller should use."""
+        cfg = self.config.current()
+        defaults = cfg.defaults.entry if cfg else None
+        return entry.answer(
+            self.members.view(),
+            self.settings.distances,
+            workspace,
+            defaults,
+        )
+
+    async def _run(
+        self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
+    ) -> base.Context:
+        now = self.ports.clock.monotonic
+        ctx = base.Context(raw, sink, now(), runs.Trace(""), now)
+        result = await chain.run(ctx)
+        if result.is_error():
+            ctx.refusal = self._refusal(ctx, result.error)
+        return ctx
+
+    def _refusal(
+        self, ctx: base.Context, error: errors.SeamError
+    ) -> requests.Refusal:
+        ran = errors.Ran.UNKNOWN if ctx.reached_endpoint else errors.Ran.NO
+        others = self.entry_answer(ctx.trace.workspace)
+        urls = tuple(
+            each.url
+            for each in (*others.instances, *others.alternates)
+            if each.name != self.record.name
+        )
+        return requests.Refusal(error, ran, ctx.retry_after_s, urls)
+
+    # Wiring
+
+    def _make_membership(self) -> None:
+        ports = self.ports
+        timing = self.settings.timing
+        self.config = config_controller.ConfigController(
+            ports.platform,
+            ports.peers,
+            ports.clock,
+            self._live_peers,
+            timing.watch_s,
+            timing.config_silent_s,
+        )
+        self.members = membership.MembershipController(
+            self.record,
+            ports.platform,
+            ports.peers,
+            ports.clock,
+            self.rng,
+            self.config.version,
+            self.config.heard,
+        )
+        self.members.subscribe(self._on_view)
+        self.registry = registry.Registry(
+            self.members, ports.peers, ports.clock, self._let_go, self._fenced
+        )
+        self.mirror = mirror.Mirror(
+            self.members,
+            ports.peers,
+            ports.clock,
+            self._cancel_at_engine,
+            self.registry.own_runs,
+        )
+        self.proof = liveness.MirrorProof(self.members, self.registry)
+        ports.peers.handle(peers.CancelRun, self._on_cancel_run)
+
+    def _make_engines(self, policy: placement.Placement) -> None:
+        self.ownership = ownership.Ownership(
+            lambda: self.members.view().live, self.directory
+        )
+        self.planner = planner.Planner(
+            self.directory,
+            policy,
+            self.settings.distances,
+            self.record.data_centre,
+            self._model_rule,
+            self.ports.clock,
+            self.rng.getrandbits(32),
+        )
+        self.owner = owner.OwnerController(
+            self.record.name,
+            self.directory,
+            self.ownership,
+            self.ports.peers,
+            self._defaults,
+            self.ports.clock,
+        )
+        self.watch = engine_watch.EngineWatch(
+            self.record.name,
+            self.record.data_centre,
+            self.directory,
+            self.ownership,
+            self.owner,
+            self.planner,
+            reaper.Reaper(self.members, self.ports.peers, self._reaped),
+        )
+
+    def _make_orders(self) -> None:
+        self.claims = claims.ClaimController(
+            self.record.name,
+            self.ports.platform,
+            self.ports.peers,
+            self.ports.clock,
+            self.ownership.shard_owner,
+            self.rng,
+        )
+
+    def _make_drain(self) -> None:
+        self.drain = drain.DrainController(
+            self.record.name, self._on_phase, (self.claims.flush,)
+        )
+
+    def _generate_filters(self) -> list[base.Filter]:
+        """Returns the filters of model requests, outermost first."""
+        data_centre = self.record.data_centre
+        return [
+            account.AccountFilter(self.runs, self.metrics, self.log),
+            leave.LeaveFilter(self.drain, self.not_ready),
+            parse.ParseGenerateFilter(
+                self.settings.limits,
+                self.config.current,
+                self.directory,
+                data_centre,
+            ),
+            identify.IdentifyFilter(self.settings.workspaces.keys),
+            limit.LimitFilter(self._limiter, self.ports.clock),
+            deduplicate.DeduplicateFilter(
+                self.runs,
+                self.registry,
+                self.proof,
+                self.directory,
+                self.owner_id,
+            ),
+            retry.RetryFilter(self._budget),
+            place.PlaceFilter(
+                self.directory,
+                self.ownership,
+                self.ports.peers,
+                self.planner,
+            ),
+            transfer.TransferFilter(
+                self.directory,
+                self.planner,
+                self.registry,
+                self.metrics,
+                self.owner_id,
+            ),
+            stream.StreamFilter(self.directory, self.proof, self.owner_id),
+        ]
+
+    def _service_filters(self) -> list[base.Filter]:
+        """Returns the filters of service calls, outermost first."""
+        return [
+            account.AccountFilter(self.runs, self.metrics, self.log),
+            leave.LeaveFilter(self.drain, self.not_ready),
+            parse.ParseServiceFilter(
+                self.settings.limits,
+                self.config.current,
+                self.record.data_centre,
+            ),
+            identify.IdentifyFilter(self.settings.workspaces.keys),
+            limit.LimitFilter(self._limiter, self.ports.clock),
+            claim.ClaimFilter(self.claims),
+            call.CallFilter(
+                self.directory, self.ports.services, self._budget, self.rng
+            ),
+        ]
+
+    # Callbacks of controllers
+
+    def _defaults(self) -> config.Defaults | None:
+        cfg = self.config.current()
+        return cfg.defaults if cfg else None
+
+    def _model_rule(self, model: str) -> config.ModelRule | None:
+        defaults = self._defaults()
+        return defaults.models.get(model) if defaults else None
+
+    def _live_peers(self) -> tuple[str, ...]:
+        live = self.members.view().live
+        return tuple(s.name for s in live if s.name != self.record.name)
+
+    def _on_view(self, view: membership_view.MembershipView) -> None:
+        self.directory.update(view.endpoints.values())
+
+    def _on_config(self, cfg: config.FleetConfig) -> None:
+        self.log.event("config_in_force", version=cfg.version)
+        self._limiter.configure(
+            _limits(cfg.defaults.workspace), _workspace_limits(cfg)
+        )
+
+    def _on_phase(self, phase: drain.Phase) -> None:
+        self.log.event("drain_phase", phase=phase.name.lower())
+        if phase is drain.Phase.ANNOUNCED:
+            self.members.spawn(self.members.leave())
+
+    def _fenced(self, request_id: bytes) -> None:
+        self.members.spawn(self._let_go(request_id))
+
+    async def _let_go(self, request_id: bytes) -> None:
+        run = await self.runs.stop(
+            ids.unpack(request_id), runs.Stop.HANDED_OVER
+        )
+        if run is not None:
+            await run.let_go.wait()
+
+    async def _on_cancel_run(
+        self, sender: str, message: peers.CancelRun
+    ) -> peers.CancelAnswer:
+        del sender
+        run = await self.runs.stop(
+            ids.unpack(message.request_id), runs.Stop.CANCELLED
+        )
+        return peers.CancelAnswer(run is not None)
+
+    async def _cancel_at_engine(
+        self, name: str, request_id: bytes, generation: int
+    ) -> bool:
+        if self.directory.record(name) is None:
+            return False
+        done = await self.directory.engine(name).cancel(
+            ids.unpack(request_id), ids.last_incarnation(generation)
+        )
+        return done.is_ok()
+
+    def _reaped(self, held: endpoints.HeldStream) -> None:
+        self.log.event(
+            "stream_reaped", request=held.request_id, owner=held.owner
+        )
+
+
+def _limits(rule: config.WorkspaceLimits) -> limits.WorkspaceLimits:
+    return limits.WorkspaceLimits(
+        rule.rate_per_s, float(rule.burst), rule.concurrency
+    )
+
+
+def _workspace_limits(
+    cfg: config.FleetConfig,
+) -> dict[str, limits.WorkspaceLimits]:
+    names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
+    resolve: Callable[[str], config.Defaults] = lambda name: config.resolve(
+        cfg, config.Scope(workspace=name)
+    )
+    return {name: _limits(resolve(name).workspace) for name in names}
