Ask peers before a starting instance serves

A read of the platform may be stale, so its answer alone is not taken at start while a live peer can be asked. Splits apply into short steps.

--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -41,6 +41,15 @@
     object_version: int
 
 
+@attrs.frozen
+class _Wanted:
+    draft: config.Draft
+    who: str
+    why: str
+    expected_version: int
+    change_id: str
+
+
 class ConfigController(task.Task):
     """Holds the configuration of one instance."""
 
@@ -138,17 +147,16 @@
 
     async def _follow(self) -> None:
         while True:
-            if not self._confirmed:
-                result = await self._platform.get(config.CONFIG_KEY)
-            else:
+            if self._confirmed:
                 result = await self._platform.watch(
                     config.CONFIG_KEY, self._object_version, self._watch_s
                 )
-            if self._take(result):
-                continue
-            if not self._confirmed and not self._is_missing(result):
+            else:
+                # A read may be stale, so peers are asked before serving.
                 await self._ask_peers()
-            await asyncio.sleep(RETRY_S)
+                result = await self._platform.get(config.CONFIG_KEY)
+            if not self._take(result):
+                await asyncio.sleep(RETRY_S)
 
     def _is_missing(self, result: expression.Result) -> bool:
         return result.is_error() and isinstance(
@@ -226,48 +234,48 @@
         Errors: `ConfigInvalid`, `ConfigConflict` or a `PlatformError`;
         `PlatformAmbiguous` when the outcome could not be settled.
         """
-        checked = config_check.check_draft(draft)
-        problems = list(checked.error.problems) if checked.is_error() else []
-        for name, text in (
-            ("who", who),
-            ("why", why),
-            ("change_id", change_id),
-        ):
-            if not text.strip():
-                problems.append(errors.BadInput(name, text, "a text"))
-        if problems:
-            return expression.Error(errors.ConfigInvalid(tuple(problems)))
+        checked = _check(draft, who, why, change_id)
+        if checked.is_error():
+            return checked
+        wanted = _Wanted(checked.ok, who, why, expected_version, change_id)
         sent = False
         for _ in range(SETTLE_TRIES):
-            read = await self._read_base()
-            if read.is_error():
-                if not sent:
-                    return read
-                await asyncio.sleep(RETRY_S)
-                continue
-            cfg = read.ok.cfg
-            for change in cfg.changes:
-                if change.change_id == change_id:
-                    self._offer(cfg)
-                    return expression.Ok(change)
-            if cfg.version != expected_version:
-                return expression.Error(_conflict(cfg))
-            new = self._next(cfg, checked.ok, who, why, change_id)
-            result = await self._write(read.ok.object_version, new)
+            result = await self._attempt(wanted)
             if result.is_ok():
-                self._offer(result.ok)
-                return expression.Ok(result.ok.changes[-1])
-            if isinstance(result.error, errors.PlatformAmbiguous):
+                return result
+            error = result.error
+            if isinstance(error, errors.PlatformAmbiguous):
                 sent = True
-            elif not sent and not isinstance(
-                result.error, errors.VersionConflict
-            ):
+            elif isinstance(error, errors.VersionConflict):
+                pass
+            elif not (sent and isinstance(error, errors.PlatformError)):
                 return result
             await asyncio.sleep(RETRY_S)
         if sent:
             return expression.Error(errors.PlatformAmbiguous("apply"))
         return expression.Error(errors.PlatformUnavailable("apply"))
 
+    async def _attempt(
+        self, wanted: _Wanted
+    ) -> expression.Result[config.Change, errors.SeamError]:
+        """Reads, looks for the change's own id, and writes if it may."""
+        read = await self._read_base()
+        if read.is_error():
+            return read
+        cfg = read.ok.cfg
+        for change in cfg.changes:
+            if change.change_id == wanted.change_id:
+                self._offer(cfg)
+                return expression.Ok(change)
+        if cfg.version != wanted.expected_version:
+            return expression.Error(_conflict(cfg))
+        new = self._next(cfg, wanted)
+        result = await self._write(read.ok.object_version, new)
+        if result.is_error():
+            return result
+        self._offer(result.ok)
+        return expression.Ok(result.ok.changes[-1])
+
     async def _read_base(self) -> expression.Result[_Base, errors.SeamError]:
         result = await self._platform.get(config.CONFIG_KEY)
         if self._is_missing(result):
@@ -284,13 +292,9 @@
         return expression.Ok(base)
 
     def _next(
-        self,
-        old: config.FleetConfig,
-        draft: config.Draft,
-        who: str,
-        why: str,
-        change_id: str,
+        self, old: config.FleetConfig, wanted: _Wanted
     ) -> config.FleetConfig:
+        draft, who = wanted.draft, wanted.who
         stamp = datetime.datetime.fromtimestamp(
             self._clock.wall(), datetime.UTC
         )
@@ -305,7 +309,9 @@
             rules.append(signed)
         what = config_check.differences(old.draft(), draft)
         version = old.version + 1
-        change = config.Change(version, who, when, why, what, change_id)
+        change = config.Change(
+            version, who, when, wanted.why, what, wanted.change_id
+        )
         changes = (*old.changes, change)
         return config.FleetConfig(
             version, draft.defaults, tuple(rules), changes
@@ -344,6 +350,20 @@
         return expression.Ok(None)
 
 
+def _check(
+    draft: config.Draft, who: str, why: str, change_id: str
+) -> config_check.DraftResult:
+    """Returns the checked draft, or every problem of the change."""
+    checked = config_check.check_draft(draft)
+    problems = list(checked.error.problems) if checked.is_error() else []
+    for name, text in (("who", who), ("why", why), ("change_id", change_id)):
+        if not text.strip():
+            problems.append(errors.BadInput(name, text, "a text"))
+    if problems:
+        return expression.Error(errors.ConfigInvalid(tuple(problems)))
+    return checked
+
+
 def _too_long(cfg: config.FleetConfig) -> bool:
     if len(cfg.changes) > config.CHANGES_KEPT:
         return True
