--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -123,7 +123,6 @@
     workspace: str
     kv_blocks: int
     tokens: int
-    granted_at: float
     starts_at: float
     expires_at: float
     adopted: bool
@@ -567,7 +566,6 @@
             workspace=workspace,
             kv_blocks=kv_blocks,
             tokens=tokens,
-            granted_at=now,
             starts_at=starts_at,
             expires_at=starts_at + slowest_s + self.limits.grant_slack_s,
             adopted=adopted,
--- /dev/null
+++ b/tests/seam_policy/test_estimate.py
@@ -0,0 +1,55 @@
+"""Tests of the estimators and of the fair queue's weights."""
+
+import math
+
+import pytest
+
+from seam_policy import estimate
+from seam_policy import fair
+
+
+def test_mean_follows_a_change_and_ignores_what_is_not_finite():
+    mean = estimate.Ewma(9.0)
+    for sample in [1.0] * 10 + [math.nan, math.inf] + [3.0] * 60:
+        mean.add(sample)
+    assert mean.value == pytest.approx(3.0, rel=0.01)
+    assert mean.value <= mean.high() < 3.1
+
+
+def test_prefill_estimate_counts_backlog_at_the_measured_rate():
+    engine = estimate.EngineEstimates()
+    for _ in range(50):
+        engine.prefill.add(2000, 0.5)
+    engine.prefill.add(0, 1.0)
+    assert engine.prefill_s(1000, backlog_tokens=3000) == pytest.approx(1.0)
+
+
+def test_arrival_rate_decays_when_arrivals_end():
+    arrivals = estimate.ArrivalRate(10.0)
+    for tenth in range(1000):
+        arrivals.add(tenth / 10)
+    assert arrivals.rate(100.0) == pytest.approx(10.0, rel=0.05)
+    assert arrivals.rate(200.0) < 0.01
+
+
+def test_weights_share_service_and_idle_time_saves_none_up():
+    queue = fair.FairQueue({"big": 3.0})
+    for number in range(400):
+        key = number.to_bytes(4, "big")
+        queue.push(("big", "small")[number % 2], key, (number % 2, key))
+    served = [0, 0]
+    for _ in range(200):
+        which, key = queue.head()
+        served[which] += 1
+        queue.serve(("big", "small")[which], 100.0)
+        queue.remove(("big", "small")[which], key)
+    assert served == [150, 50]
+    for number in range(100):
+        queue.push("late", b"l%d" % number, (2, b"l%d" % number))
+    turns = []
+    for _ in range(8):
+        which, key = queue.head()
+        turns.append(which)
+        queue.serve(("big", "small", "late")[which], 100.0)
+        queue.remove(("big", "small", "late")[which], key)
+    assert turns.count(2) <= 3
