--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 PY := .venv/bin/python
 SEEDS ?= 200
+# The packages come first: tests/ holds folders of the same names.
+export PYTHONPATH := packages/seam_policy:packages/seam_model:packages/seam_node:packages/seam_ctl:tests:.
 
 .PHONY: demo test lint format bench measure slopes soak
 
--- a/packages/seam_node/seam_node/adapters/peer_tcp.py
+++ b/packages/seam_node/seam_node/adapters/peer_tcp.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import socket
 from typing import Any
 
 import expression
@@ -70,6 +71,7 @@
         self._handlers: dict[type, peer_port.Handler] = {}
         self._links: dict[str, peer_link.PeerLink] = {}
         self._server: _Server | None = None
+        self._sockets: list[socket.socket] = []
         self._accepted: set[peer_stream.FrameStream] = set()
         self._running: set[asyncio.Task] = set()
 
@@ -79,12 +81,18 @@
             raise ValueError(f"{message_type.__name__} has a handler")
         self._handlers[message_type] = handler
 
+    def bind(self) -> int:
+        """Binds the listening socket early and returns its port."""
+        self._sockets = netutil.bind_sockets(self._port, self._host)
+        self._port = self._sockets[0].getsockname()[1]
+        return self._port
+
     async def start(self) -> None:
         """Starts listening."""
+        if not self._sockets:
+            self.bind()
         self._server = _Server(self._accept)
-        sockets = netutil.bind_sockets(self._port, self._host)
-        self._server.add_sockets(sockets)
-        self._port = sockets[0].getsockname()[1]
+        self._server.add_sockets(self._sockets)
 
     def bound_port(self) -> int:
         """Returns the port that is listened on."""
--- a/packages/seam_node/seam_node/controllers/runs.py
+++ b/packages/seam_node/seam_node/controllers/runs.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from seam_node.ports import engine
+from seam_node.ports import engine as engine_port
 
 TRACE_LIMIT = 2000
 
@@ -54,7 +54,7 @@
     incarnation: int = 0
     """Number of the current attempt at the engine."""
     stop: Stop | None = None
-    stream: engine.DecodeStream | None = None
+    stream: engine_port.DecodeStream | None = None
     wakes: int = 0
     """Pauses of the process that this run was proved after."""
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
--- /dev/null
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -0,0 +1,214 @@
+"""The callers' HTTP interface."""
+
+import asyncio
+from collections.abc import Callable
+import math
+from typing import Any
+
+from tornado import httpserver
+from tornado import iostream
+from tornado import web
+
+from seam_model import codec
+from seam_model import errors
+from seam_model import ids
+from seam_model import requests
+from seam_node import node as node_module
+from seam_node.filters import base
+from seam_node.web import refusals
+
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+MAX_UNSENT_BYTES = 64 * 1024
+DRAIN_LIMIT_S = 5.0
+"""How long a caller may leave that much unread."""
+
+
+class HandlerSink(base.Sink):
+    """Writes a stream of events to one caller's connection."""
+
+    def __init__(self, handler: web.RequestHandler):
+        """Takes the handler of the caller's request."""
+        self._handler = handler
+        self._gone = False
+        self._callback: Callable[[], None] | None = None
+        self.started = False
+
+    async def write(self, data: bytes) -> bool:
+        """Sends events; False once the caller is gone or reads too slowly."""
+        if self._gone:
+            return False
+        if not self.started:
+            self.started = True
+            self._handler.set_header("Content-Type", EVENT_STREAM)
+            self._handler.set_header("Cache-Control", "no-store")
+        self._handler.write(data)
+        try:
+            flushed = self._handler.flush()
+            if flushed.done() or not self._is_behind():
+                return True
+            await asyncio.wait_for(flushed, DRAIN_LIMIT_S)
+        except (iostream.StreamClosedError, TimeoutError):
+            self.closed()
+            return False
+        return True
+
+    def gone(self) -> bool:
+        """Tells whether the caller's connection has closed."""
+        return self._gone
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """Sets what is called once when the caller's connection closes."""
+        self._callback = callback
+        if self._gone:
+            callback()
+
+    def closed(self) -> None:
+        """Records that the caller's connection has closed."""
+        if self._gone:
+            return
+        self._gone = True
+        if self._callback is not None:
+            self._callback()
+
+    def _is_behind(self) -> bool:
+        stream = self._handler.request.connection.stream
+        return len(stream._write_buffer) > MAX_UNSENT_BYTES
+
+
+class _Handler(web.RequestHandler):
+    """Base of the callers' handlers."""
+
+    def initialize(self, node: node_module.Node) -> None:
+        """Takes the node that serves the requests."""
+        self._node = node
+        self.sink = HandlerSink(self)
+
+    def on_connection_close(self) -> None:
+        """Tells the sink that the caller has gone."""
+        self.sink.closed()
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answers what tornado itself refuses, as JSON."""
+        del kwargs
+        error = errors.BadInput("request", str(status_code), "see the docs")
+        self._refuse(requests.Refusal(error, errors.Ran.NO), status_code)
+
+    def _raw(self, service: str = "", operation: str = "") -> base.RawRequest:
+        headers = {
+            name.lower(): value
+            for name, value in self.request.headers.get_all()
+        }
+        return base.RawRequest(self.request.body, headers, service, operation)
+
+    def _refuse(
+        self, refusal: requests.Refusal, status: int | None = None
+    ) -> None:
+        self.set_status(status or refusals.status_of(refusal.error))
+        self.set_header("Content-Type", JSON)
+        self.set_header("Retry-After", str(math.ceil(refusal.retry_after_s)))
+        self.finish(refusals.body_of(refusal))
+
+
+class EntryHandler(_Handler):
+    """`GET /v1/entry`: which instances to use."""
+
+    def get(self) -> None:
+        """Answers with instances, nearest first."""
+        workspace = self.get_query_argument("workspace", "")
+        self.set_header("Content-Type", JSON)
+        self.finish(codec.to_json(self._node.entry_answer(workspace)))
+
+
+class GenerateHandler(_Handler):
+    """`POST /v1/generate`: streams the answer of a model."""
+
+    async def post(self) -> None:
+        """Runs the request through the filter chain."""
+        ctx = await self._node.generate(self._raw(), self.sink)
+        if self.sink.gone():
+            return
+        if ctx.refusal is None:
+            self.finish()
+        elif self.sink.started:
+            self.finish(refusals.event_of(ctx.refusal))
+        else:
+            self._refuse(ctx.refusal)
+
+
+class ServiceHandler(_Handler):
+    """`POST /v1/services/{service}/{operation}`: calls a plain service."""
+
+    async def post(self, service: str, operation: str) -> None:
+        """Runs the call through the filter chain."""
+        raw = self._raw(service, operation)
+        ctx = await self._node.call_service(raw, self.sink)
+        if self.sink.gone():
+            return
+        if ctx.refusal is not None:
+            self._refuse(ctx.refusal)
+            return
+        self.set_status(ctx.reply.status)
+        self.set_header("Content-Type", ctx.reply.content_type)
+        self.finish(ctx.reply.body)
+
+
+class RequestHandler(_Handler):
+    """`DELETE /v1/requests/{id}`: cancels a model request."""
+
+    async def delete(self, request_id: str) -> None:
+        """Answers 204 once the run was told to stop, else 404."""
+        if not ids.is_uuid7(request_id):
+            error: errors.SeamError = errors.BadInput(
+                "id", request_id, "a UUIDv7 in lower-case text form"
+            )
+            self._refuse(requests.Refusal(error, errors.Ran.NO))
+            return
+        if await self._node.cancel(request_id):
+            self.set_status(204)
+            self.finish()
+            return
+        refusal = requests.Refusal(errors.RunUnknown(), errors.Ran.NO)
+        self._refuse(refusal)
+
+
+class HealthHandler(_Handler):
+    """`GET /healthz` and `GET /readyz`."""
+
+    def initialize(self, node: node_module.Node, ready: bool) -> None:
+        """Takes the node and whether readiness is asked for."""
+        super().initialize(node)
+        self._ready = ready
+
+    def get(self) -> None:
+        """Answers 200, or 503 with the reason."""
+        reason = self._node.not_ready() if self._ready else None
+        if reason is not None:
+            self._refuse(requests.Refusal(reason, errors.Ran.NO))
+            return
+        self.finish("ok\n")
+
+
+def make_server(node: node_module.Node) -> httpserver.HTTPServer:
+    """Returns the callers' server; the port is bound by the caller."""
+    routes = [
+        ("/v1/entry", EntryHandler, {"node": node}),
+        ("/v1/generate", GenerateHandler, {"node": node}),
+        (
+            "/v1/services/([^/]{1,128})/([^/]{1,128})",
+            ServiceHandler,
+            {"node": node},
+        ),
+        ("/v1/requests/([^/]{1,64})", RequestHandler, {"node": node}),
+        ("/healthz", HealthHandler, {"node": node, "ready": False}),
+        ("/readyz", HealthHandler, {"node": node, "ready": True}),
+    ]
+    app = web.Application(routes, log_function=lambda handler: None)
+    limits = node.settings.limits
+    return httpserver.HTTPServer(
+        app,
+        max_body_size=limits.max_body_bytes,
+        max_buffer_size=2 * limits.max_body_bytes,
+        idle_connection_timeout=limits.header_timeout_s,
+        body_timeout=limits.body_timeout_s,
+    )
--- /dev/null
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -0,0 +1,63 @@
+"""How typed failures look to callers over HTTP."""
+
+import attrs
+
+from seam_model import codec
+from seam_model import errors
+from seam_model import requests
+
+_STATUS: dict[type[errors.SeamError], int] = {
+    errors.BadInput: 400,
+    errors.BodyUnreadable: 400,
+    errors.KeyOutsideWindow: 400,
+    errors.WorkspaceUnknown: 401,
+    errors.Denied: 403,
+    errors.ModelUnknown: 404,
+    errors.ServiceUnknown: 404,
+    errors.RunUnknown: 404,
+    errors.StreamUnknown: 410,
+    errors.AlreadyEnded: 409,
+    errors.AlreadyRunning: 409,
+    errors.ConfigConflict: 409,
+    errors.BodyTooLarge: 413,
+    errors.ConfigInvalid: 422,
+    errors.LimitExceeded: 429,
+    errors.DeadlinePassed: 504,
+    errors.OutcomeUnknown: 502,
+    errors.EndpointLost: 502,
+}
+DEFAULT_STATUS = 503
+
+
+@attrs.frozen
+class RefusalBody:
+    """A refusal as callers see it."""
+
+    error: str
+    detail: str
+    ran: str
+    retry_after_s: float
+    instances: tuple[str, ...]
+
+
+def status_of(error: errors.SeamError) -> int:
+    """Returns the HTTP status of a failure."""
+    return _STATUS.get(type(error), DEFAULT_STATUS)
+
+
+def body_of(refusal: requests.Refusal) -> bytes:
+    """Returns a refusal as JSON."""
+    return codec.to_json(
+        RefusalBody(
+            error=refusal.error.code,
+            detail=refusal.error.describe(),
+            ran=refusal.ran.value,
+            retry_after_s=round(refusal.retry_after_s, 3),
+            instances=refusal.instances,
+        )
+    )
+
+
+def event_of(refusal: requests.Refusal) -> bytes:
+    """Returns a refusal as the last event of a stream that had begun."""
+    return b"event: error\ndata: " + body_of(refusal) + b"\n\n"
