--- a/packages/seam_model/seam_model/claims.py
+++ b/packages/seam_model/seam_model/claims.py
@@ -17,7 +17,7 @@
 from seam_model import peers
 
 PREFIX = "claims/"
-BUCKET_S = 10
+BUCKET_S = 2
 SHARDS = 16
 """Fixed for good: another number would look for old claims elsewhere."""
 WINDOW_S = 600.0
--- a/packages/seam_node/seam_node/controllers/claim_store.py
+++ b/packages/seam_node/seam_node/controllers/claim_store.py
@@ -47,7 +47,8 @@
 class ClaimStore:
     """Applies claim messages to the platform's objects.
 
-    `platform` holds the objects; `spawn` runs a coroutine in the background.
+    `platform` holds the objects; `spawn` runs a coroutine in the background;
+    `object_key` names the object of a packed key.
     """
 
     def __init__(
@@ -55,18 +56,20 @@
         platform: platform_port.Platform,
         spawn: Callable[[Any], Any],
         outcome_linger_s: float = OUTCOME_LINGER_S,
+        object_key: Callable[[bytes], str] = claims.object_key,
     ):
         """Starts with nothing cached."""
         self._platform = platform
         self._spawn = spawn
         self._linger_s = outcome_linger_s
+        self._object_key = object_key
         self._writers: dict[str, _Writer] = {}
         self._views: dict[str, _View] = {}
 
     async def submit(self, message: Any) -> Any:
         """Applies a claim, an outcome or a release; returns the answer."""
         fut = asyncio.get_running_loop().create_future()
-        object_key = claims.object_key(message.key)
+        object_key = self._object_key(message.key)
         writer = self._writers.setdefault(object_key, _Writer())
         writer.pending.append(_Op(message, fut))
         if not isinstance(message, peers.ClaimOutcome):
--- a/packages/seam_node/seam_node/controllers/claims.py
+++ b/packages/seam_node/seam_node/controllers/claims.py
@@ -28,7 +28,7 @@
 """Times that the owner is asked before the instance writes by itself."""
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 5.0
-SWEEP_PERIOD_S = 30.0
+SWEEP_PERIOD_S = 60.0
 
 
 @attrs.frozen
--- a/tests/seam_node/controllers/test_lease.py
+++ b/tests/seam_node/controllers/test_lease.py
@@ -47,16 +47,17 @@
         platform = claim_fakes.Platform(latency_s=0.0)
         old, new = make(platform, "a"), make(platform, "b")
         await old.receive(lease.Tick())
-        await new.start()
-        await asyncio.sleep(WAIT_S - 1)
+        await new.receive(lease.Tick())
+        await asyncio.sleep(WAIT_S - 0.1)
+        await new.receive(lease.Tick())
         assert old.valid_for(now()) == 0
         assert new.valid_for(now()) == 0
-        await asyncio.sleep(10)
+        await asyncio.sleep(0.2)
+        await new.receive(lease.Tick())
         assert new.valid_for(now()) > 0
         assert (old.fence(), new.fence()) == (1, 2)
         await old.receive(lease.Tick())
         assert old.valid_for(now()) == 0
-        await new.close()
 
     claim_fakes.run(main())
 
