--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -91,6 +91,13 @@
         return self.arrived_at + req.deadline_s - self.now()
 
 
+def make_context(
+    raw: RawRequest, sink: Sink, now: Callable[[], float]
+) -> Context:
+    """Returns the context of a request that arrives now."""
+    return Context(raw, sink, now(), runs.Trace(""), now)
+
+
 class Filter(abc.ABC):
     """One step that every request of a kind passes."""
 
--- a/packages/seam_node/seam_node/filters/parse.py
+++ b/packages/seam_node/seam_node/filters/parse.py
@@ -39,6 +39,8 @@
             raise _bad(name, value, f"text of at most {limit} characters")
         if not value and default is None:
             raise _bad(name, value, "text that is not empty")
+        if not _is_unicode(value):
+            raise _bad(name, value, "text without lone surrogates")
         return value
 
     def whole(self, name: str, low: int, high: int, default: int | None) -> int:
@@ -68,6 +70,15 @@
         return _RANKS[value]
 
 
+def _is_unicode(text: str) -> bool:
+    """Tells whether text can be encoded; JSON may hold half a character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _bad(field: str, value: Any, allowed: str) -> errors.SeamException:
     return errors.SeamException(
         errors.BadInput(field, repr(value)[:80], allowed)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -195,8 +195,7 @@
     async def _run(
         self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
     ) -> base.Context:
-        now = self.ports.clock.monotonic
-        ctx = base.Context(raw, sink, now(), runs.Trace(""), now)
+        ctx = base.make_context(raw, sink, self.ports.clock.monotonic)
         result = await chain.run(ctx)
         if result.is_error():
             ctx.refusal = self._refusal(ctx, result.error)
