Refuse requests that meet a fault of ours as ran: unknown, and log the traceback

Cause: an exception in a filter reached tornado, whose write_error said ran: no for every status, also after a byte had reached an endpoint. Red before: test_exception_is_refused_as_unknown (KeyError raised through).

--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -38,6 +38,14 @@
         self.error = error
 
 
+@attrs.frozen
+class Internal(SeamError):
+    """A fault of the product itself; the log has the traceback."""
+
+    code = "internal"
+    kind: str
+
+
 # Platform
 
 
--- a/packages/seam_node/seam_node/logs.py
+++ b/packages/seam_node/seam_node/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import traceback
 from typing import Any
 from typing import TextIO
 
@@ -77,3 +78,8 @@
             detail=error.describe(),
             **fields,
         )
+
+    def bug(self, name: str, exc: Exception, **fields: Any) -> None:
+        """Logs an exception that nothing expected, with its traceback."""
+        trace = "".join(traceback.format_exception(exc))
+        self.event(name, level="error", detail=trace, **fields)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -196,7 +196,12 @@
         self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
     ) -> base.Context:
         ctx = base.make_context(raw, sink, self.ports.clock.monotonic)
-        result = await chain.run(ctx)
+        try:
+            result = await chain.run(ctx)
+        except Exception as exc:
+            self.log.bug("request_failed", exc, request=ctx.trace.request_id)
+            ctx.reached_endpoint = True
+            result = base.fail(errors.Internal(type(exc).__name__))
         if result.is_error():
             ctx.refusal = self._refusal(ctx, result.error)
         return ctx
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -19,6 +19,7 @@
 
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
+SERVER_ERROR = 500
 MAX_UNSENT_BYTES = 64 * 1024
 DRAIN_LIMIT_S = 5.0
 """How long a caller may leave that much unread."""
@@ -89,10 +90,17 @@
         self.sink.closed()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answers what tornado itself refuses, as JSON."""
-        del kwargs
-        error = errors.BadInput("request", str(status_code), "see the docs")
-        self._refuse(requests.Refusal(error, errors.Ran.NO), status_code)
+        """Answers what tornado itself refuses or a handler raised."""
+        raised = kwargs.get("exc_info", (None, None, None))[1]
+        if status_code < SERVER_ERROR:
+            error = errors.BadInput(
+                "request", self.request.method or "", "see docs/CALLERS.md"
+            )
+            refusal = requests.Refusal(error, errors.Ran.NO)
+        else:
+            internal = errors.Internal(type(raised).__name__)
+            refusal = requests.Refusal(internal, errors.Ran.UNKNOWN)
+        self._refuse(refusal, status_code)
 
     def _raw(self, service: str = "", operation: str = "") -> base.RawRequest:
         headers = {
--- a/packages/seam_node/seam_node/web/refusals.py
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -22,6 +22,7 @@
     errors.BodyTooLarge: 413,
     errors.ConfigInvalid: 422,
     errors.LimitExceeded: 429,
+    errors.Internal: 500,
     errors.DeadlinePassed: 504,
     errors.KeyReused: 409,
     errors.OutcomeUnknown: 502,
