Bind request ids to their workspace, for resume and cancel

Cause: a run was known by its id alone, so a caller of another workspace that knew the id could take its stream over or cancel it; DELETE asked for no token at all. Mirrors now hold a 4-byte tag of the workspace with each run and refuse others as id_taken; DELETE needs the workspace's token. Weighed: an id hashed with the workspace throughout, which hides the id from engines' logs. Costs 4 bytes for each vote.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -102,7 +102,7 @@
             "DELETE",
             f"{url}/v1/requests/{request_id}",
             10.0,
-            headers=self._headers(),
+            headers={**self._headers(), "X-Workspace": self.workspace},
         )
         return answer.status
 
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -385,6 +385,13 @@
     key: str
 
 
+@attrs.frozen
+class IdTaken(SeamError):
+    """The request id belongs to a run of another workspace."""
+
+    code = "id_taken"
+
+
 @attrs.frozen
 class RunUnknown(SeamError):
     """A majority of the mirrors knows no run of the id."""
--- a/packages/seam_model/seam_model/ids.py
+++ b/packages/seam_model/seam_model/ids.py
@@ -1,5 +1,6 @@
 """Identifiers: UUIDv7 request ids and idempotency keys (RFC 9562)."""
 
+import hashlib
 import random
 import re
 import uuid
@@ -42,6 +43,17 @@
     return str(uuid.UUID(bytes=data))
 
 
+# Workspaces
+
+WORKSPACE_TAG_BYTES = 4
+
+
+def workspace_tag(workspace: str) -> bytes:
+    """Returns a short hash that binds a request id to its workspace."""
+    state = hashlib.blake2b(workspace.encode(), digest_size=WORKSPACE_TAG_BYTES)
+    return state.digest()
+
+
 # Generations of a run
 
 ATTEMPTS_PER_GENERATION = 256
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -44,6 +44,8 @@
     """1 for a first run; a takeover uses one more than the run it replaces."""
     instance: str
     incarnation: int
+    tag: bytes
+    """Binds the id to its workspace; see `ids.workspace_tag`."""
 
 
 @attrs.frozen
@@ -98,6 +100,7 @@
     """
 
     request_id: bytes
+    tag: bytes
 
 
 @attrs.frozen
@@ -117,6 +120,7 @@
     incarnations: tuple[int, ...]
     engines: tuple[str, ...]
     ended: tuple[str, ...]
+    tags: tuple[bytes, ...]
 
 
 @attrs.frozen
@@ -141,6 +145,7 @@
     """Asks the instance that relays a stream to cancel it."""
 
     request_id: bytes
+    tag: bytes
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/mirror.py
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -32,6 +32,8 @@
 ENDED_WINDOW_S = 300.0
 MAX_RUNS = 100_000
 ABANDONED = "abandoned"
+OTHER_WORKSPACE = "other_workspace"
+"""In place of an outcome: the id belongs to another workspace."""
 
 
 @attrs.define
@@ -45,6 +47,7 @@
     at: float
     engine: str = ""
     ended: str = ""
+    tag: bytes = b""
     orphan_at: float | None = None
 
 
@@ -109,8 +112,10 @@
         match message:
             case peers.RegisterRun():
                 return self._vote(message)
-            case peers.RunQuery(request_id):
+            case peers.RunQuery(request_id, tag):
                 entry = self._entries.get(request_id)
+                if _is_foreign(entry, tag):
+                    return _foreign_answer()
                 return self._answer(entry, granted=not self.warming)
             case peers.RunPlaced(request_id, generation, engine):
                 entry = self._entries.get(request_id)
@@ -137,10 +142,12 @@
         entry = self._entries.get(wanted.request_id)
         if self.warming:
             return self._answer(entry, granted=False)
+        if _is_foreign(entry, wanted.tag):
+            return _foreign_answer()
         if entry is None:
             if len(self._entries) >= MAX_RUNS:
                 return self._answer(None, granted=False)
-            entry = Entry(0, "", 0, 0.0)
+            entry = Entry(0, "", 0, 0.0, tag=wanted.tag)
             self._entries[wanted.request_id] = entry
         elif entry.ended:
             return self._answer(entry, granted=False)
@@ -234,21 +241,21 @@
             if name in replica_names(request_id, listed)
         ]
         if not rows:
-            return peers.MirrorSyncAnswer((), (), (), (), (), ())
+            return peers.MirrorSyncAnswer((), (), (), (), (), (), ())
         return peers.MirrorSyncAnswer(*zip(*rows, strict=True))
 
     def _merge(self, answer: peers.MirrorSyncAnswer) -> None:
         columns = attrs.astuple(answer, recurse=False)
         now = self._clock.monotonic()
         for request_id, *values in zip(*columns, strict=True):
-            generation, instance, incarnation, engine, ended = values
+            generation, instance, incarnation, engine, ended, tag = values
             known = self._entries.get(request_id)
             if known is not None and known.generation > generation:
                 continue
             if known is not None and known.ended:
                 continue
             self._entries[request_id] = Entry(
-                generation, instance, incarnation, now, engine, ended
+                generation, instance, incarnation, now, engine, ended, tag
             )
 
     # Watching over runs
@@ -305,6 +312,15 @@
         self.tell(peers.RunEnded(request_id, generation, ABANDONED))
 
 
+def _is_foreign(entry: Entry | None, tag: bytes) -> bool:
+    """Tells whether an id is known to belong to another workspace."""
+    return entry is not None and bool(entry.tag) and entry.tag != tag
+
+
+def _foreign_answer() -> peers.RegisterAnswer:
+    return peers.RegisterAnswer(False, 1, "", 0, "", OTHER_WORKSPACE)
+
+
 def replica_names(
     request_id: bytes, listed: Iterable[rendezvous.Site]
 ) -> tuple[str, ...]:
@@ -343,4 +359,5 @@
         entry.incarnation,
         entry.engine,
         entry.ended,
+        entry.tag,
     )
--- a/packages/seam_node/seam_node/controllers/registry.py
+++ b/packages/seam_node/seam_node/controllers/registry.py
@@ -50,6 +50,7 @@
 @attrs.define
 class _Run:
     generation: int
+    tag: bytes
     engine: str = ""
     registered: bool = False
     known_at: set[tuple[str, int]] = attrs.field(factory=set)
@@ -131,22 +132,25 @@
         own = self._members.view().own
         now = self._clock.monotonic()
         return [
-            (request_id, mirror.Entry(*_holder(own, run), now, run.engine))
+            (
+                request_id,
+                mirror.Entry(*_holder(own, run), now, run.engine, tag=run.tag),
+            )
             for request_id, run in self._runs.items()
             if run.registered
         ]
 
     async def begin(
-        self, request_id: bytes
+        self, request_id: bytes, tag: bytes
     ) -> expression.Result[Registration, errors.SeamError]:
         """Registers a first run.
 
-        Errors: `AlreadyRunning`, `AlreadyEnded`, `NoQuorum`.
+        Errors: `AlreadyRunning`, `AlreadyEnded`, `IdTaken`, `NoQuorum`.
         """
         own = self._members.view().own.name
         if request_id in self._runs:
             return expression.Error(errors.AlreadyRunning(own))
-        return await self._register(request_id, _Run(1))
+        return await self._register(request_id, _Run(1, tag))
 
     def placed(self, request_id: bytes, engine: str) -> None:
         """Tells the mirrors which engine holds the stream."""
@@ -162,18 +166,18 @@
             self._tell_all(peers.RunEnded(request_id, run.generation, outcome))
 
     async def take_over(
-        self, request_id: bytes
+        self, request_id: bytes, tag: bytes
     ) -> expression.Result[TakeOver, errors.SeamError]:
         """Continues a run that another reader or instance holds.
 
-        Errors: `RunUnknown`, `AlreadyEnded`, `NoQuorum` and, when another
-        takeover was faster, `AlreadyRunning`.
+        Errors: `RunUnknown`, `AlreadyEnded`, `IdTaken`, `NoQuorum` and, when
+        another takeover was faster, `AlreadyRunning`.
         """
-        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        ballot = await self._poll(request_id, peers.RunQuery(request_id, tag))
         known = [a for a in ballot.answers.values() if a.generation]
         for answer in known:
             if answer.ended:
-                return expression.Error(errors.AlreadyEnded(answer.ended))
+                return expression.Error(_ended_error(answer.ended))
         if not ballot.won():
             return expression.Error(ballot.shortfall())
         if not known:
@@ -183,7 +187,7 @@
         engine = next((a.engine for a in known if a.engine), "")
         holder = next((a.instance for a in known if a.instance), "")
         handed = await self._hand_over(request_id, generation, holder)
-        run = _Run(generation, handed or engine)
+        run = _Run(generation, tag, handed or engine)
         made = await self._register(request_id, run)
         if made.is_error():
             return made
@@ -191,9 +195,9 @@
             self.placed(request_id, run.engine)
         return expression.Ok(TakeOver(run.engine, generation))
 
-    async def holders(self, request_id: bytes) -> set[str]:
+    async def holders(self, request_id: bytes, tag: bytes) -> set[str]:
         """Returns the instances that the mirrors say hold the run."""
-        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        ballot = await self._poll(request_id, peers.RunQuery(request_id, tag))
         answers = ballot.answers.values()
         return {a.instance for a in answers if a.instance and not a.ended}
 
@@ -202,7 +206,9 @@
         run = self._runs.get(request_id)
         if run is None:
             return False
-        ballot = await self._poll(request_id, peers.RunQuery(request_id))
+        ballot = await self._poll(
+            request_id, peers.RunQuery(request_id, run.tag)
+        )
         held = _holder(self._members.view().own, run)
         for name, answer in ballot.answers.items():
             seen = (answer.generation, answer.instance, answer.incarnation)
@@ -218,7 +224,7 @@
     ) -> expression.Result[Registration, errors.SeamError]:
         self._runs[request_id] = run
         own = self._members.view().own
-        wanted = peers.RegisterRun(request_id, *_holder(own, run))
+        wanted = peers.RegisterRun(request_id, *_holder(own, run), run.tag)
         try:
             ballot = await self._poll(request_id, wanted)
         except asyncio.CancelledError:
@@ -358,7 +364,9 @@
     async def _renew_at(self, name: str, request_id: bytes, run: _Run) -> bool:
         held = _holder(self._members.view().own, run)
         answer = await self._network.request(
-            name, peers.RegisterRun(request_id, *held), REGISTER_TIMEOUT_S
+            name,
+            peers.RegisterRun(request_id, *held, run.tag),
+            REGISTER_TIMEOUT_S,
         )
         if answer.is_error() or answer.ok is None:
             return False
@@ -381,11 +389,17 @@
     return tuple(dict.fromkeys(name for names in sets for name in names))
 
 
+def _ended_error(outcome: str) -> errors.SeamError:
+    if outcome == mirror.OTHER_WORKSPACE:
+        return errors.IdTaken()
+    return errors.AlreadyEnded(outcome)
+
+
 def _refusal(ballot: _Ballot, own: Any) -> errors.SeamError:
     refused = [a for a in ballot.answers.values() if not a.granted]
     for answer in refused:
         if answer.ended:
-            return errors.AlreadyEnded(answer.ended)
+            return _ended_error(answer.ended)
     for answer in refused:
         if answer.instance and answer.instance != own.name:
             return errors.AlreadyRunning(answer.instance)
--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -64,8 +64,9 @@
         self, ctx: base.Context, request_id: bytes
     ) -> expression.Result[runs.Run, errors.SeamError]:
         req = ctx.generate
+        tag = ids.workspace_tag(req.workspace)
         if not req.resumes:
-            begun = await self._registry.begin(request_id)
+            begun = await self._registry.begin(request_id, tag)
             if begun.is_ok():
                 return expression.Ok(
                     runs.Run(req.request_id, begun.ok.generation, ctx.trace)
@@ -74,7 +75,7 @@
                 return begun
         # The id has a run, of which the endpoints may have seen something.
         ctx.reached_endpoint = True
-        taken = await self._registry.take_over(request_id)
+        taken = await self._registry.take_over(request_id, tag)
         if taken.is_error():
             return taken
         ctx.note(self.name, f"took over generation {taken.ok.generation}")
--- a/packages/seam_node/seam_node/filters/identify.py
+++ b/packages/seam_node/seam_node/filters/identify.py
@@ -10,6 +10,13 @@
 _SCHEME = "bearer "
 
 
+def bearer_token(header: str) -> str:
+    """Returns the token of an Authorization header, or an empty text."""
+    if header[: len(_SCHEME)].lower() != _SCHEME:
+        return ""
+    return header[len(_SCHEME) :].strip()
+
+
 class IdentifyFilter(base.Filter):
     """Lets only requests with a token of their workspace pass."""
 
@@ -24,10 +31,7 @@
     ) -> base.Result:
         """Checks the token against the workspace that the request names."""
         workspace = (ctx.generate or ctx.call).workspace
-        header = ctx.raw.headers.get(TOKEN_HEADER, "")
-        token = ""
-        if header[: len(_SCHEME)].lower() == _SCHEME:
-            token = header[len(_SCHEME) :].strip()
+        token = bearer_token(ctx.raw.headers.get(TOKEN_HEADER, ""))
         if not keys.verify_workspace_token(self._secrets, token, workspace):
             return base.fail(errors.WorkspaceUnknown(workspace))
         return await proceed(ctx)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -165,17 +165,20 @@
         """Runs a service call; the reply is `ctx.reply`."""
         return await self._run(self.service_chain, raw, sink)
 
-    async def cancel(self, request_id: str) -> bool:
-        """Cancels a run here or where its mirrors say it is."""
-        if await self.runs.stop(request_id, runs.Stop.CANCELLED) is not None:
+    async def cancel(self, request_id: str, workspace: str) -> bool:
+        """Cancels a workspace's run here or where its mirrors say it is."""
+        tag = ids.workspace_tag(workspace)
+        if await self._cancel_here(request_id, tag):
             return True
         packed = ids.pack(request_id)
         names = {site.name for site in self.members.view().live}
         names.discard(self.record.name)
-        holders = await self.registry.holders(packed)
+        holders = await self.registry.holders(packed, tag)
         for name in holders & names:
             answer = await self.ports.peers.request(
-                name, peers.CancelRun(packed), registry.HAND_OVER_TIMEOUT_S
+                name,
+                peers.CancelRun(packed, tag),
+                registry.HAND_OVER_TIMEOUT_S,
             )
             if answer.is_ok() and answer.ok.known:
                 return True
@@ -398,10 +401,16 @@
         self, sender: str, message: peers.CancelRun
     ) -> peers.CancelAnswer:
         del sender
-        run = await self.runs.stop(
-            ids.unpack(message.request_id), runs.Stop.CANCELLED
-        )
-        return peers.CancelAnswer(run is not None)
+        request_id = ids.unpack(message.request_id)
+        known = await self._cancel_here(request_id, message.tag)
+        return peers.CancelAnswer(known)
+
+    async def _cancel_here(self, request_id: str, tag: bytes) -> bool:
+        run = self.runs.get(request_id)
+        if run is None or ids.workspace_tag(run.trace.workspace) != tag:
+            return False
+        await runs.stop_run(run, runs.Stop.CANCELLED)
+        return True
 
     async def _cancel_at_engine(
         self, name: str, request_id: bytes, generation: int
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -12,9 +12,12 @@
 from seam_model import codec
 from seam_model import errors
 from seam_model import ids
+from seam_model import keys
 from seam_model import requests
 from seam_node import node as node_module
 from seam_node.filters import base
+from seam_node.filters import identify
+from seam_node.filters import parse
 from seam_node.web import refusals
 
 EVENT_STREAM = "text/event-stream"
@@ -172,13 +175,30 @@
             )
             self._refuse(requests.Refusal(error, errors.Ran.NO))
             return
-        if await self._node.cancel(request_id):
+        workspace = self._workspace()
+        if workspace is None:
+            unknown = errors.WorkspaceUnknown(self._named_workspace())
+            self._refuse(requests.Refusal(unknown, errors.Ran.NO))
+            return
+        if await self._node.cancel(request_id, workspace):
             self.set_status(204)
             self.finish()
             return
         refusal = requests.Refusal(errors.RunUnknown(), errors.Ran.NO)
         self._refuse(refusal)
 
+    def _named_workspace(self) -> str:
+        return self.request.headers.get(parse.WORKSPACE_HEADER, "")
+
+    def _workspace(self) -> str | None:
+        """Returns the workspace that the token proves, or None."""
+        workspace = self._named_workspace()
+        header = self.request.headers.get(identify.TOKEN_HEADER, "")
+        secrets = self._node.settings.workspaces.keys
+        token = identify.bearer_token(header)
+        proved = keys.verify_workspace_token(secrets, token, workspace)
+        return workspace if proved else None
+
 
 class HealthHandler(_Handler):
     """`GET /healthz` and `GET /readyz`."""
--- a/packages/seam_node/seam_node/web/refusals.py
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -14,6 +14,7 @@
     errors.Denied: 403,
     errors.ModelUnknown: 404,
     errors.ServiceUnknown: 404,
+    errors.IdTaken: 409,
     errors.RunUnknown: 404,
     errors.StreamUnknown: 410,
     errors.AlreadyEnded: 409,
--- a/tests/seam_node/controllers/test_reaper.py
+++ b/tests/seam_node/controllers/test_reaper.py
@@ -56,7 +56,7 @@
 def test_what_is_lost(request_id, owner, idle_s, lost):
     async def main():
         _, nodes = await test_registry.fleet(21)
-        await nodes["a"].registry.begin(ids.pack(HELD))
+        await nodes["a"].registry.begin(ids.pack(HELD), test_registry.TAG)
         stream = endpoints.HeldStream(request_id, 1, owner, idle_s)
         cancelled = await look(nodes, Engine(), stream)
         assert cancelled == ([(request_id, 1)] if lost else [])
--- a/tests/seam_node/controllers/test_registry.py
+++ b/tests/seam_node/controllers/test_registry.py
@@ -6,12 +6,14 @@
 import pytest
 
 from seam_model import errors
+from seam_model import ids
 from seam_node.controllers import membership
 from seam_node.controllers import mirror
 from seam_node.controllers import registry
 from tests.seam_node.controllers import peer_world
 
 NAMES = ("a", "b", "c", "d", "e")
+TAG = ids.workspace_tag("cebu")
 
 
 def ident(n):
@@ -94,7 +96,7 @@
         won = 0
         for n in range(40):
             results = await asyncio.gather(
-                *(nodes[name].registry.begin(ident(n)) for name in NAMES)
+                *(nodes[name].registry.begin(ident(n), TAG) for name in NAMES)
             )
             granted = [r for r in results if r.is_ok()]
             assert len(granted) <= 1
@@ -107,31 +109,48 @@
 def test_an_ended_run_is_not_run_again():
     async def main():
         _, nodes = await fleet(11)
-        assert (await nodes["a"].registry.begin(ident(1))).is_ok()
+        assert (await nodes["a"].registry.begin(ident(1), TAG)).is_ok()
         nodes["a"].registry.ended(ident(1), "answered")
         await asyncio.sleep(1)
-        again = await nodes["b"].registry.begin(ident(1))
+        again = await nodes["b"].registry.begin(ident(1), TAG)
         assert again.error == errors.AlreadyEnded("answered")
-        over = await nodes["b"].registry.take_over(ident(1))
+        over = await nodes["b"].registry.take_over(ident(1), TAG)
         assert over.error == errors.AlreadyEnded("answered")
 
     peer_world.run(main())
 
 
+def test_another_workspace_gets_nothing_of_a_run():
+    async def main():
+        _, nodes = await fleet(13)
+        await nodes["a"].registry.begin(ident(1), TAG)
+        other = ids.workspace_tag("iloilo")
+        for name in NAMES:
+            again = await nodes[name].registry.begin(ident(1), other)
+            assert again.is_error()
+            over = await nodes[name].registry.take_over(ident(1), other)
+            assert over.error == errors.IdTaken()
+            assert not await nodes[name].registry.holders(ident(1), other)
+        assert nodes["a"].let_go == []
+        assert await nodes["a"].registry.prove(ident(1))
+
+    peer_world.run(main())
+
+
 def test_a_live_holder_hands_over():
     async def main():
         _, nodes = await fleet(12)
-        await nodes["a"].registry.begin(ident(1))
+        await nodes["a"].registry.begin(ident(1), TAG)
         nodes["a"].registry.placed(ident(1), "engine-3")
         await asyncio.sleep(1)
-        refused = await nodes["b"].registry.begin(ident(1))
+        refused = await nodes["b"].registry.begin(ident(1), TAG)
         assert refused.error == errors.AlreadyRunning("a")
-        over = await nodes["b"].registry.take_over(ident(1))
+        over = await nodes["b"].registry.take_over(ident(1), TAG)
         assert over.ok == registry.TakeOver("engine-3", 2)
         assert nodes["a"].let_go == [ident(1)]
         assert not await nodes["a"].registry.prove(ident(1))
         assert await nodes["b"].registry.prove(ident(1))
-        unknown = await nodes["b"].registry.take_over(ident(2))
+        unknown = await nodes["b"].registry.take_over(ident(2), TAG)
         assert unknown.error == errors.RunUnknown()
 
     peer_world.run(main())
@@ -141,11 +160,11 @@
     async def main():
         _, nodes = await fleet(13)
         request_id, _ = replicated_at(nodes, without="a")
-        await nodes["a"].registry.begin(request_id)
+        await nodes["a"].registry.begin(request_id, TAG)
         nodes["a"].registry.placed(request_id, "engine-3")
         await asyncio.sleep(1)
         await nodes["a"].stop()
-        over = await nodes["b"].registry.take_over(request_id)
+        over = await nodes["b"].registry.take_over(request_id, TAG)
         assert over.ok == registry.TakeOver("engine-3", 2)
         await asyncio.sleep(60)
         assert not any(node.cancelled for node in nodes.values())
@@ -157,7 +176,7 @@
     async def main():
         _, nodes = await fleet(14)
         request_id, _ = replicated_at(nodes, without="a")
-        await nodes["a"].registry.begin(request_id)
+        await nodes["a"].registry.begin(request_id, TAG)
         nodes["a"].registry.placed(request_id, "engine-3")
         await asyncio.sleep(1)
         await nodes["a"].stop()
@@ -177,12 +196,12 @@
             rest = [name for name in NAMES if name != side]
             world.part([side], rest)
             one, two = await asyncio.gather(
-                nodes[side].registry.begin(request_id),
-                nodes[rest[0]].registry.begin(request_id),
+                nodes[side].registry.begin(request_id, TAG),
+                nodes[rest[0]].registry.begin(request_id, TAG),
             )
             assert one.error == errors.NoQuorum(1, 2)
             assert two.is_ok()
-            over = await nodes[side].registry.take_over(request_id)
+            over = await nodes[side].registry.take_over(request_id, TAG)
             assert isinstance(over.error, errors.NoQuorum)
             world.cut = set()
 
@@ -193,10 +212,10 @@
     async def main():
         world, nodes = await fleet(16)
         request_id, _ = replicated_at(nodes, without="a")
-        await nodes["a"].registry.begin(request_id)
+        await nodes["a"].registry.begin(request_id, TAG)
         assert await nodes["a"].registry.prove(request_id)
         world.part("a", "bcde")
-        over = await nodes["b"].registry.take_over(request_id)
+        over = await nodes["b"].registry.take_over(request_id, TAG)
         assert over.ok.generation == 2
         assert not await nodes["a"].registry.prove(request_id)
         world.cut = set()
@@ -209,7 +228,7 @@
     async def main():
         world, nodes = await fleet(17)
         request_id, names = replicated_at(nodes, without="a")
-        await nodes["a"].registry.begin(request_id)
+        await nodes["a"].registry.begin(request_id, TAG)
         other = next(n for n in NAMES if n != "a" and n not in names)
         for name in names[:2]:
             await nodes[name].stop()
@@ -217,13 +236,13 @@
         for name in names[:2]:
             nodes[name] = await Node(world, name, 2).start()
         for _ in range(30):
-            again = await nodes[other].registry.begin(request_id)
+            again = await nodes[other].registry.begin(request_id, TAG)
             assert again.is_error()
             await asyncio.sleep(0.25)
         world.cut = set()
         await asyncio.sleep(20)
         assert not nodes[names[0]].mirror.warming
-        again = await nodes[other].registry.begin(request_id)
+        again = await nodes[other].registry.begin(request_id, TAG)
         assert again.error == errors.AlreadyRunning("a")
 
     peer_world.run(main())
@@ -234,13 +253,13 @@
         world, nodes = await fleet(18)
         begun = [ident(n) for n in range(40)]
         for request_id in begun:
-            assert (await nodes["a"].registry.begin(request_id)).is_ok()
+            assert (await nodes["a"].registry.begin(request_id, TAG)).is_ok()
         for name in ("f", "g"):
             nodes[name] = await Node(world, name).start()
         for _ in range(60):
             await asyncio.sleep(0.5)
             taker = nodes["b"].registry
-            results = [await taker.begin(r) for r in begun]
+            results = [await taker.begin(r, TAG) for r in begun]
             assert not any(result.is_ok() for result in results)
 
     peer_world.run(main())
