Refuse orders with keys outside the window as ran: unknown

A repeat of an order that ran, sent after the window, was answered key_outside_window with ran: no. A caller who believes it sends the order again under a new key, and it runs twice. Only a key so far ahead that no clock within the margin has accepted it is still ran: no.

Ruled out: keeping claims longer, which moves the edge only.

--- a/packages/seam_model/seam_model/claims.py
+++ b/packages/seam_model/seam_model/claims.py
@@ -114,10 +114,22 @@
     return int(bucket), int(shard, 16)
 
 
-def in_window(key: bytes, wall_s: float) -> bool:
+def in_window(key: bytes, wall_s: float, window_s: float = WINDOW_S) -> bool:
     """Tells whether a key may be claimed at a wall clock time."""
-    age_s = wall_s - ids.uuid7_wall_s(ids.unpack(key))
-    return -FUTURE_S <= age_s <= WINDOW_S
+    return -FUTURE_S <= _age_s(key, wall_s) <= min(window_s, WINDOW_S)
+
+
+def may_have_run(key: bytes, wall_s: float) -> bool:
+    """Tells whether some instance's clock has accepted a key by now.
+
+    It is false only for a key so far ahead that no clock within
+    `DELETE_MARGIN_S` of this one has come near it.
+    """
+    return _age_s(key, wall_s) >= -FUTURE_S - DELETE_MARGIN_S
+
+
+def _age_s(key: bytes, wall_s: float) -> float:
+    return wall_s - ids.uuid7_wall_s(ids.unpack(key))
 
 
 def is_expired(bucket: int, wall_s: float) -> bool:
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -276,6 +276,8 @@
 
     code = "key_outside_window"
     key: str
+    may_have_run: bool = True
+    """Whether an earlier attempt with the key may have been accepted."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/claims.py
+++ b/packages/seam_node/seam_node/controllers/claims.py
@@ -61,8 +61,13 @@
         clock: clock_port.Clock,
         owner_of: Callable[[bytes], str | None],
         rng: random.Random,
+        window_s: Callable[[], float] = lambda: claims.WINDOW_S,
     ):
-        """Registers the handlers of claim messages at `network`."""
+        """Registers the handlers of claim messages at `network`.
+
+        `window_s` may narrow the window in which this instance takes keys;
+        objects are kept for the whole of `claims.WINDOW_S` in any case.
+        """
         super().__init__("claims")
         self._self_name = self_name
         self._platform = platform
@@ -70,6 +75,7 @@
         self._clock = clock
         self._owner_of = owner_of
         self._rng = rng
+        self._window_s = window_s
         self._store = claim_store.ClaimStore(platform, self.spawn)
         self._unstored: set[asyncio.Task] = set()
         network.handle(peers.ClaimRequest, self._on_message)
@@ -86,18 +92,20 @@
     ) -> expression.Result[Claim, errors.SeamError]:
         """Claims a key for one order.
 
-        Errors: `BadInput`, `KeyOutsideWindow`, `KeyReused`, `ClaimsFull` and
+        Errors: `BadInput`, `KeyReused`, `ClaimsFull` and
         `PlatformUnavailable` when no byte of an order with this body was sent
         under this claim; `OutcomeUnknown` and `OutcomeNotKept` when an
-        earlier one may have run or has run.
+        earlier one may have run or has run; `KeyOutsideWindow` says which.
         """
         if not ids.is_uuid7(key):
             return expression.Error(
                 errors.BadInput("Idempotency-Key", key, "a UUIDv7")
             )
         packed = ids.pack(key)
-        if not claims.in_window(packed, self._clock.wall()):
-            return expression.Error(errors.KeyOutsideWindow(key))
+        wall_s = self._clock.wall()
+        if not claims.in_window(packed, wall_s, self._window_s()):
+            ran = claims.may_have_run(packed, wall_s)
+            return expression.Error(errors.KeyOutsideWindow(key, ran))
         nonce = self._rng.randbytes(claims.NONCE_BYTES)
         req = peers.ClaimRequest(packed, digest, self._self_name, nonce)
         try:
--- a/packages/seam_node/seam_node/filters/claim.py
+++ b/packages/seam_node/seam_node/filters/claim.py
@@ -18,6 +18,13 @@
     return state.digest()
 
 
+def _may_have_run(error: errors.SeamError) -> bool:
+    """Tells whether an earlier attempt with the key may have been sent."""
+    if isinstance(error, errors.KeyOutsideWindow):
+        return error.may_have_run
+    return isinstance(error, errors.OutcomeUnknown | errors.OutcomeNotKept)
+
+
 class ClaimFilter(base.Filter):
     """Lets each non-idempotent order through at most once."""
 
@@ -37,9 +44,7 @@
         digest = order_digest(call.service, call.operation, call.body)
         claimed = await self._claims.claim(call.key, digest)
         if claimed.is_error():
-            ctx.reached_endpoint = isinstance(
-                claimed.error, errors.OutcomeUnknown | errors.OutcomeNotKept
-            )
+            ctx.reached_endpoint = _may_have_run(claimed.error)
             return base.fail(claimed.error)
         claim = claimed.ok
         if claim.reply is not None:
