Put accepted settings into force in running controllers

retry.budget_ratio, drain.refuse_after_s, hedge.budget_ratio and the admission shares were read once or never; they now follow each newer configuration, admission also in ledgers that exist, by engine scope. orders.window_s is the only window key and may only narrow the window for which claims are kept; orders.bucket_s and hedge.after_ratio, which nothing read, are gone (a stored configuration that holds them is still decoded). refuse_after_s is at most the 3 s of the promise.

--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from seam_model import claims
 from seam_model import endpoints
 from seam_model import requests
 from seam_model import toml_check
@@ -18,6 +19,8 @@
 CHANGES_KEPT = 50
 """Changes that the object itself holds; older ones are moved out."""
 OBJECT_MAX_BYTES = 512 * 1024
+REFUSE_AFTER_LIMIT_S = 3.0
+"""Longest time for which a leaving instance may still take new work."""
 RANK_NAMES: tuple[str, ...] = ("urgent", "other")
 """Names in exceptions' scopes, in the order of `requests.Rank`."""
 
@@ -32,7 +35,6 @@
         "deadlines.urgent_s",
         "entry.cache_s",
         "entry.width",
-        "hedge.after_ratio",
         "hedge.budget_ratio",
         "hedge.enabled",
         "resume_window_s",
@@ -125,20 +127,19 @@
 
 @attrs.frozen
 class Hedge:
-    """When a second prefill or service call is started for a late one."""
+    """Whether a second service call is started for a late idempotent one."""
 
     enabled: bool
-    after_ratio: float = _ratio()
-    """Share of the target that passes before a hedge."""
     budget_ratio: float = _ratio()
+    """Second calls allowed for each call that succeeded."""
 
 
 @attrs.frozen
 class Orders:
     """Time window of idempotency keys."""
 
-    bucket_s: float = _seconds()
-    window_s: float = _seconds()
+    window_s: float = toml_check.limits(above=0, high=claims.WINDOW_S)
+    """Age up to which a key is taken; claims are kept for the longest one."""
 
 
 @attrs.frozen
@@ -154,7 +155,7 @@
 class Drain:
     """How an instance leaves."""
 
-    refuse_after_s: float = toml_check.limits(high=3600)
+    refuse_after_s: float = toml_check.limits(high=REFUSE_AFTER_LIMIT_S)
 
 
 @attrs.frozen
@@ -171,6 +172,8 @@
     kv_bytes_per_token: int = _count()
     max_prompt_tokens: int = _count()
     adapters: tuple[str, ...] = ()
+    weight_bytes: int = toml_check.limits(high=10**15, default=0)
+    """Size in the weight store; needed for models of `engines`."""
 
 
 @attrs.frozen
@@ -189,6 +192,9 @@
     models: tuple[str, ...]
     adapters: tuple[str, ...] = ()
     checks_fence: bool = False
+    """Whether the engine refuses orders with an old fencing number."""
+    adapts: bool = False
+    """Whether measured demand, in place of `role`, decides on the role."""
 
 
 @attrs.frozen
--- a/packages/seam_model/seam_model/config_check.py
+++ b/packages/seam_model/seam_model/config_check.py
@@ -172,6 +172,10 @@
             if model not in defaults.models:
                 key = f"defaults.engines.{name}.models"
                 checker.add(key, model, "a model of defaults.models")
+            elif not defaults.models[model].weight_bytes:
+                key = f"defaults.models.{model}.weight_bytes"
+                text = f"above 0, as defaults.engines.{name} names the model"
+                checker.add(key, 0, text)
 
 
 def _rule_problems(defaults: config.Defaults) -> list[errors.BadInput]:
@@ -193,9 +197,6 @@
         text = f"{shares.other_floor} + {shares.urgent_reserve}"
         key = "defaults.admission.other_floor"
         checker.add(key, text, "at most 1 with urgent_reserve")
-    if defaults.orders.window_s < defaults.orders.bucket_s:
-        key = "defaults.orders.window_s"
-        checker.add(key, defaults.orders.window_s, "at least bucket_s")
     return checker.problems
 
 
--- a/packages/seam_node/seam_node/controllers/drain.py
+++ b/packages/seam_node/seam_node/controllers/drain.py
@@ -64,6 +64,10 @@
         self._idle.set()
         self._ended = asyncio.Event()
 
+    def configure(self, refuse_after_s: float) -> None:
+        """Sets for how long a leaving instance still takes new work."""
+        self._refuse_after_s = refuse_after_s
+
     def begin(self, reason: str) -> None:
         """Starts leaving; a second call skips every wait but for requests."""
         self.tell(Begin(reason))
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -28,6 +28,11 @@
     report: endpoints.LoadReport
 
 
+@attrs.frozen
+class Reconfigure:
+    """Asks the controller to apply changed settings to its ledgers."""
+
+
 @attrs.frozen
 class _Tick:
     pass
@@ -46,10 +51,13 @@
         directory: engines.EngineDirectory,
         owners: ownership.Ownership,
         network: peer.PeerNetwork,
-        defaults: Callable[[], config.Defaults | None],
+        defaults: Callable[[endpoints.EndpointRecord], config.Defaults | None],
         clk: clock.Clock,
     ):
-        """Registers the slot messages' handlers."""
+        """Registers the slot messages' handlers.
+
+        `defaults` returns the settings in force for an engine.
+        """
         super().__init__("owner")
         self._self_name = self_name
         self._directory = directory
@@ -79,6 +87,8 @@
                 self._release(message)
             case Observed(report):
                 self._observe(report)
+            case Reconfigure():
+                self._reconfigure()
             case _Tick():
                 self._tick()
         return None
@@ -157,6 +167,18 @@
 
     # Ledgers
 
+    def _reconfigure(self) -> None:
+        for engine, book in self._ledgers.items():
+            record = self._directory.record(engine)
+            defaults = self._defaults(record) if record else None
+            if defaults is not None:
+                shares = defaults.admission
+                book.configure(
+                    shares.other_floor,
+                    shares.urgent_reserve,
+                    shares.queue_limit,
+                )
+
     def _ledger(self, engine: str) -> ledger.SlotLedger | None:
         if self._owners.owner_of(engine) != self._self_name:
             self._drop(engine)
@@ -176,7 +198,7 @@
                 fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
 
     def _limits(self, record: endpoints.EndpointRecord) -> ledger.LedgerLimits:
-        defaults = self._defaults()
+        defaults = self._defaults(record)
         if defaults is None:
             return ledger.LedgerLimits(record.slots, record.kv_blocks)
         return ledger.LedgerLimits(
--- a/packages/seam_node/seam_node/filters/call.py
+++ b/packages/seam_node/seam_node/filters/call.py
@@ -33,6 +33,7 @@
         self._directory = directory
         self._services = services
         self._budget = budget
+        self._hedge_budget = retry.RetryBudget()
         self._hedges: dict[tuple[str, str], hedge.HedgePolicy] = {}
         self._rng = rng
 
@@ -85,6 +86,7 @@
             last = await self._send_hedged(ctx, record, spare)
             if last.is_ok() and last.ok.status < SERVER_ERROR:
                 self._budget.note_success()
+                self._hedge_budget.note_success()
                 return last
             ctx.attempt += 1
             if ctx.attempt >= ctx.effective.retry.max_attempts:
@@ -98,6 +100,7 @@
         spare: endpoints.EndpointRecord,
     ) -> expression.Result:
         policy = self._hedge_policy(ctx)
+        self._hedge_budget.configure(ctx.effective.hedge.budget_ratio)
         started_at = ctx.now()
         first = asyncio.ensure_future(self._send(ctx, record))
         pending = {first}
@@ -123,7 +126,7 @@
     def _hedge_policy(self, ctx: base.Context) -> hedge.HedgePolicy:
         key = (ctx.call.service, ctx.call.operation)
         if key not in self._hedges:
-            self._hedges[key] = hedge.HedgePolicy(self._budget)
+            self._hedges[key] = hedge.HedgePolicy(self._hedge_budget)
         return self._hedges[key]
 
     # Endpoints
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -268,7 +268,7 @@
             self.directory,
             self.ownership,
             self.ports.peers,
-            self._defaults,
+            self._engine_defaults,
             self.ports.clock,
         )
         self.watch = engine_watch.EngineWatch(
@@ -289,6 +289,7 @@
             self.ports.clock,
             self.ownership.shard_owner,
             self.rng,
+            self._order_window_s,
         )
 
     def _make_drain(self) -> None:
@@ -358,6 +359,19 @@
         cfg = self.config.current()
         return cfg.defaults if cfg else None
 
+    def _engine_defaults(
+        self, record: endpoints.EndpointRecord
+    ) -> config.Defaults | None:
+        cfg = self.config.current()
+        if cfg is None:
+            return None
+        scope = config.Scope(engine=record.name, data_centre=record.data_centre)
+        return config.resolve(cfg, scope)
+
+    def _order_window_s(self) -> float:
+        defaults = self._defaults()
+        return defaults.orders.window_s if defaults else 0.0
+
     def _model_rule(self, model: str) -> config.ModelRule | None:
         defaults = self._defaults()
         return defaults.models.get(model) if defaults else None
@@ -374,6 +388,9 @@
         self._limiter.configure(
             _limits(cfg.defaults.workspace), _workspace_limits(cfg)
         )
+        self._budget.configure(cfg.defaults.retry.budget_ratio)
+        self.drain.configure(cfg.defaults.drain.refuse_after_s)
+        self.owner.tell(owner.Reconfigure())
 
     def _on_phase(self, phase: drain.Phase) -> None:
         self.log.event("drain_phase", phase=phase.name.lower())
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -158,6 +158,17 @@
         self._urgent_rate = estimate.ArrivalRate(_RATE_WINDOW_S)
         self._reports = reconcile.Reconciler()
 
+    def configure(
+        self, other_floor: float, urgent_reserve: float, queue_limit: int
+    ) -> None:
+        """Sets the ranks' shares; they hold from the next decision on."""
+        self.limits = attrs.evolve(
+            self.limits,
+            other_floor=other_floor,
+            urgent_reserve=urgent_reserve,
+            queue_limit=queue_limit,
+        )
+
     # Views
 
     @property
--- a/packages/seam_policy/seam_policy/retry.py
+++ b/packages/seam_policy/seam_policy/retry.py
@@ -25,6 +25,10 @@
         self._capacity = capacity
         self._tokens = min(start, capacity)
 
+    def configure(self, ratio: float) -> None:
+        """Sets the retries that one success pays for."""
+        self._ratio = ratio
+
     @property
     def allowed(self) -> int:
         """Whole retries that are allowed now."""
