Hold the lease and give model orders from configuration and demand

The node now runs the lease, the reading of demand and the role orders. Only the instance that rendezvous hashing names tries for the lease, and one that neither holds nor wants it makes no platform call (before, each instance read the lease object every third of its duration: at 400 nodes 80 reads a second). No [engines] table, no lease and no orders.

--- a/packages/seam_model/seam_model/settings.py
+++ b/packages/seam_model/seam_model/settings.py
@@ -15,6 +15,8 @@
 
 PORT_MAX = 65535
 MS_PER_S = 1000.0
+LEASE_MIN_S = 10.0
+"""Twice the timeout of a model order, so that one fits into a lease."""
 _SECRET_PATTERN = rf"([0-9a-fA-F]{{2}}){{{keys.SECRET_MIN_BYTES},}}"
 _SECRET_ALLOWED = f"hex of at least {keys.SECRET_MIN_BYTES} bytes"
 _SECRET_BOUNDS = {
@@ -172,7 +174,8 @@
     """Longest wait of one watch call."""
     config_silent_s: float = _seconds()
     """Silence of platform and peers after which new work is refused."""
-    lease_s: float = _seconds()
+    lease_s: float = toml_check.limits(low=LEASE_MIN_S, high=3600)
+    """Duration of a lease on model orders."""
     stop_limit_s: float = _seconds()
     """Longest time to wait for running requests when leaving."""
 
--- a/packages/seam_node/seam_node/controllers/lease.py
+++ b/packages/seam_node/seam_node/controllers/lease.py
@@ -117,6 +117,9 @@
             await asyncio.sleep(self._duration_s / RENEWALS_PER_DURATION)
 
     async def _tick(self) -> None:
+        # Who neither holds nor wants the lease costs the platform nothing.
+        if not self._wants() and not self._is_held():
+            return
         await self._observe()
         if self._seen is None:
             return
@@ -141,6 +144,9 @@
             now = self._clock.monotonic()
             self._seen = _Seen(version, record, now)
 
+    def _is_held(self) -> bool:
+        return self._seen is not None and self._is_own(self._seen.record)
+
     def _is_own(self, record: LeaseRecord | None) -> bool:
         return (
             record is not None
@@ -165,7 +171,7 @@
             await self._give_up()
 
     async def _give_up(self) -> None:
-        if self._seen is None or not self._is_own(self._seen.record):
+        if not self._is_held():
             return
         self._valid_until_s = float("-inf")
         await self._write(0.0, self._seen.record.fence)
--- a/packages/seam_node/seam_node/controllers/roles.py
+++ b/packages/seam_node/seam_node/controllers/roles.py
@@ -35,6 +35,9 @@
 
 
 Records = tuple[endpoints.EndpointRecord, ...]
+Note = Callable[
+    [endpoints.EndpointRecord, endpoints.ModelOrder, expression.Result], None
+]
 
 
 @attrs.frozen
@@ -54,7 +57,8 @@
 
     `observed` returns the engines as the platform lists them; `decide` turns
     them into the wanted state by engine name, from configuration and measured
-    demand. `loads_per_s` is the weight store's rate of model loads.
+    demand. `load_s` returns for how many seconds an order's loads keep the
+    weight store busy; `note` is told of each order's outcome.
     """
 
     def __init__(
@@ -64,7 +68,8 @@
         clock: clock_port.Clock,
         observed: Callable[[], Records],
         decide: Callable[[Records], dict[str, WantedState]],
-        loads_per_s: float,
+        load_s: Callable[[endpoints.EndpointRecord, WantedState], float],
+        note: Note = lambda record, order, result: None,
         order_timeout_s: float = ORDER_TIMEOUT_S,
     ):
         """Starts with nothing sent."""
@@ -74,7 +79,8 @@
         self._clock = clock
         self._observed = observed
         self._decide = decide
-        self._load_gap_s = 1 / loads_per_s
+        self._load_s = load_s
+        self._note = note
         self._timeout_s = order_timeout_s
         self._sent: dict[str, _Sent] = {}
         self._next_load_s = float("-inf")
@@ -126,15 +132,15 @@
     async def _order(
         self, record: endpoints.EndpointRecord, target: WantedState
     ) -> None:
-        loads = len(set(target.models) - set(record.models))
-        loads += len(set(target.adapters) - set(record.adapters))
+        load_s = self._load_s(record, target)
         now = self._clock.monotonic()
-        if loads and now < self._next_load_s:
+        if load_s and now < self._next_load_s:
             return
         # The lease is checked last, with nothing awaited before the send.
         if not self._may_send(record.checks_fence):
             return
-        self._next_load_s = now + loads * self._load_gap_s
+        if load_s:
+            self._next_load_s = now + load_s
         await self._send(record, target)
 
     async def _send(
@@ -151,6 +157,7 @@
         )
         sent_s = self._clock.monotonic()
         done = await self._configure(record, order)
+        self._note(record, order, done)
         if done.is_ok():
             self._sent[record.name] = _Sent(target, fence, sent_s)
 
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/roles_demand.py
@@ -0,0 +1,125 @@
+"""Measures how full the pools of engines are whose roles may change.
+
+Only the holder of the lease reads load reports, of a bounded number of engines
+at a time, in turn. A fleet with more engines than fit in the life of a report
+is judged by the sample that is fresh.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from seam_model import endpoints
+from seam_node import task
+from seam_node.controllers import lease
+from seam_node.ports import clock
+from seam_node.ports import engine
+from seam_policy import roles
+
+READ_PERIOD_S = 5.0
+READS_PER_PERIOD = 8
+FRESH_S = 60.0
+"""Age up to which a report counts."""
+FULL_PREFILL_TOKENS = 8192
+"""Queued prefill tokens at which a prefill engine counts as full."""
+
+Records = tuple[endpoints.EndpointRecord, ...]
+
+
+@attrs.frozen
+class _Sample:
+    use: float
+    """Share of the engine in use, 1 being full."""
+    busy: int
+    at_s: float
+
+
+class PoolDemand(task.Task):
+    """Reads load reports while the lease is held.
+
+    `watched` returns the engines whose pools may change.
+    """
+
+    def __init__(
+        self,
+        held: lease.LeaseController,
+        engines: engine.EngineFactory,
+        watched: Callable[[], Records],
+        clk: clock.Clock,
+    ):
+        """Starts with nothing known."""
+        super().__init__("roles_demand")
+        self._lease = held
+        self._engines = engines
+        self._watched = watched
+        self._clock = clk
+        self._samples: dict[str, _Sample] = {}
+        self._turn = 0
+
+    async def start(self) -> None:
+        """Starts the reading loop."""
+        await super().start()
+        self.spawn(self._read_loop())
+
+    async def receive(self, message: object) -> None:
+        """Takes no messages."""
+
+    def busy(self, name: str) -> int:
+        """Returns what an engine ran when it was last read."""
+        sample = self._samples.get(name)
+        return sample.busy if sample else 0
+
+    def demands(self, records: Iterable[endpoints.EndpointRecord]) -> list:
+        """Returns the use of both pools of each model that is known."""
+        records = tuple(records)
+        models = sorted({name for record in records for name in record.models})
+        found = []
+        for model in models:
+            prefill = self._use(records, model, endpoints.EngineRole.PREFILL)
+            decode = self._use(records, model, endpoints.EngineRole.DECODE)
+            if prefill is not None and decode is not None:
+                found.append(roles.RoleDemand(model, prefill, decode))
+        return found
+
+    def _use(
+        self, records: Records, model: str, role: endpoints.EngineRole
+    ) -> float | None:
+        """Returns the mean use of a pool; None when nothing fresh is known."""
+        oldest_s = self._clock.monotonic() - FRESH_S
+        uses = [
+            self._samples[record.name].use
+            for record in records
+            if record.role is role
+            and model in record.models
+            and record.name in self._samples
+            and self._samples[record.name].at_s >= oldest_s
+        ]
+        return sum(uses) / len(uses) if uses else None
+
+    async def _read_loop(self) -> None:
+        while True:
+            if self._lease.valid_for(self._clock.monotonic()) > 0:
+                await asyncio.gather(*map(self._read, self._next_records()))
+            else:
+                self._samples.clear()
+            await asyncio.sleep(READ_PERIOD_S)
+
+    def _next_records(self) -> list[endpoints.EndpointRecord]:
+        records = sorted(self._watched(), key=lambda record: record.name)
+        count = min(READS_PER_PERIOD, len(records))
+        start, self._turn = self._turn, self._turn + count
+        return [records[(start + i) % len(records)] for i in range(count)]
+
+    async def _read(self, record: endpoints.EndpointRecord) -> None:
+        load = await self._engines.engine(record).load()
+        if load.is_error():
+            self._samples.pop(record.name, None)
+            return
+        report = load.ok
+        use = report.running / max(1, report.slots)
+        if record.role is endpoints.EngineRole.PREFILL:
+            use = min(1.0, report.queued_prefill_tokens / FULL_PREFILL_TOKENS)
+        at_s = self._clock.monotonic() - report.age_s
+        self._samples[record.name] = _Sample(use, report.running, at_s)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import expression
 
 from seam_model import config
 from seam_model import endpoints
@@ -20,6 +21,7 @@
 from seam_node.controllers import drain
 from seam_node.controllers import engine_watch
 from seam_node.controllers import engines
+from seam_node.controllers import lease
 from seam_node.controllers import liveness
 from seam_node.controllers import membership
 from seam_node.controllers import membership_view
@@ -29,6 +31,9 @@
 from seam_node.controllers import planner
 from seam_node.controllers import reaper
 from seam_node.controllers import registry
+from seam_node.controllers import roles
+from seam_node.controllers import roles_demand
+from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
 from seam_node.filters import account
 from seam_node.filters import base
@@ -53,6 +58,7 @@
 from seam_policy import retry as retry_policy
 
 START_PAUSE_S = 0.05
+ROLES_LEASE = "roles"
 
 
 @attrs.frozen
@@ -98,6 +104,7 @@
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
+        self._make_roles()
         self._make_drain()
         self._limiter = limits.WorkspaceLimiter(
             limits.WorkspaceLimits(1000.0, 1000.0, 1000)
@@ -114,6 +121,9 @@
             self.claims,
             self.owner,
             self.watch,
+            self.roles_lease,
+            self.roles_demand,
+            self.roles,
             self.drain,
         )
 
@@ -292,9 +302,43 @@
             self._order_window_s,
         )
 
+    def _make_roles(self) -> None:
+        ports = self.ports
+        self.wanted = roles_wanted.WantedEngines(
+            self._defaults,
+            lambda: self.members.view().endpoints,
+            ports.clock,
+        )
+        self.roles_lease = lease.LeaseController(
+            ROLES_LEASE,
+            self.record.name,
+            self.record.incarnation,
+            ports.platform,
+            ports.clock,
+            self._wants_roles_lease,
+            roles.ORDER_TIMEOUT_S,
+            self.settings.timing.lease_s,
+        )
+        self.roles_demand = roles_demand.PoolDemand(
+            self.roles_lease, ports.engines, self.wanted.adapting, ports.clock
+        )
+        self.roles = roles.RolesController(
+            self.roles_lease,
+            ports.engines,
+            ports.clock,
+            self.wanted.records,
+            lambda records: self.wanted.decide(
+                records, self.roles_demand, self.roles_lease.fence()
+            ),
+            self.wanted.load_s,
+            self._note_model_order,
+        )
+
     def _make_drain(self) -> None:
         self.drain = drain.DrainController(
-            self.record.name, self._on_phase, (self.claims.flush,)
+            self.record.name,
+            self._on_phase,
+            (self.claims.flush, self._resign_lease),
         )
 
     def _generate_filters(self) -> list[base.Filter]:
@@ -397,6 +441,33 @@
         if phase is drain.Phase.ANNOUNCED:
             self.members.spawn(self.members.leave())
 
+    def _wants_roles_lease(self) -> bool:
+        """Tells whether this instance is the one that should give orders."""
+        if self.drain.phase is not drain.Phase.SERVING or self.not_ready():
+            return False
+        if not self.wanted.has_rules():
+            return False
+        key = f"{lease.PREFIX}{ROLES_LEASE}".encode()
+        return self.ownership.shard_owner(key) == self.record.name
+
+    async def _resign_lease(self) -> None:
+        await self.roles_lease.ask(lease.Resign())
+
+    def _note_model_order(
+        self,
+        record: endpoints.EndpointRecord,
+        order: endpoints.ModelOrder,
+        result: expression.Result,
+    ) -> None:
+        self.log.event(
+            "model_order",
+            engine=record.name,
+            order=order.order_id,
+            role=order.role.value,
+            models=",".join(order.models),
+            outcome="ok" if result.is_ok() else result.error.code,
+        )
+
     def _fenced(self, request_id: bytes) -> None:
         self.members.spawn(self._let_go(request_id))
 
--- a/tests/seam_node/controllers/test_roles.py
+++ b/tests/seam_node/controllers/test_roles.py
@@ -75,7 +75,9 @@
         clock,
         engines.observed,
         lambda records: {record.name: WANTED for record in records},
-        loads_per_s,
+        lambda record, target: (
+            len(set(target.models) - set(record.models)) / loads_per_s
+        ),
     )
     return held, controller
 
