Don't count a starting peer as a witness of the configuration

With the platform down, an instance took the word of any live peer, also of one that had only just started itself and knew an outdated version. Now each live peer must answer and one of them must serve by what it holds. Two instances that start together still get ready as soon as one serving peer answers both.

Ruled out: requiring every peer to serve, which keeps two starting instances waiting for each other.

--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -260,3 +260,5 @@
 
     version: int
     data: bytes
+    in_force: bool = True
+    """Whether the sender serves by it; false while the sender starts."""
--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -185,15 +185,21 @@
         return True
 
     async def _ask_peers(self) -> None:
-        """Takes the live peers' word while the platform is down."""
+        """Takes the live peers' word while the platform is down.
+
+        Every one must answer, and one of them must serve: peers that start
+        at the same time know no more than this instance.
+        """
         names = tuple(self._live_peers())
         answers = await asyncio.gather(*(self._fetch(name) for name in names))
-        if names and all(answers) and self._cfg is not None:
+        if None in answers or self._cfg is None:
+            return
+        if any(answer.in_force for answer in answers):
             self._confirmed = True
             self._note_served()
 
-    async def _fetch(self, peer: str) -> bool:
-        """Returns whether the peer said what it has."""
+    async def _fetch(self, peer: str) -> peers.ConfigObject | None:
+        """Returns what the peer said, or None if it said nothing usable."""
         self._fetching.add(peer)
         message = peers.ConfigFetch(self._held())
         try:
@@ -201,23 +207,23 @@
         finally:
             self._fetching.discard(peer)
         if result.is_error() or not isinstance(result.ok, peers.ConfigObject):
-            return False
+            return None
         self._heard_at = self._clock.monotonic()
         self._highest = max(self._highest, result.ok.version)
         if result.ok.data:
             decoded = config_check.decode(result.ok.data)
             if decoded.is_error():
-                return False
+                return None
             self._offer(decoded.ok)
-        return True
+        return result.ok
 
     async def _answer_fetch(
         self, _peer: str, message: peers.ConfigFetch
     ) -> peers.ConfigObject:
         if self._cfg is None or self._cfg.version <= message.above_version:
-            return peers.ConfigObject(self.version(), b"")
+            return peers.ConfigObject(self.version(), b"", self._served)
         data = config_check.encode(self._cfg)
-        return peers.ConfigObject(self._cfg.version, data)
+        return peers.ConfigObject(self._cfg.version, data, self._served)
 
     # Changing
 
--- a/tests/seam_node/controllers/test_config.py
+++ b/tests/seam_node/controllers/test_config.py
@@ -185,6 +185,26 @@
     run(scenario, monkeypatch)
 
 
+def test_start_does_not_trust_a_peer_that_is_starting(monkeypatch):
+    async def scenario(rig):
+        a = await rig.node("a")
+        await spin()
+        await a.apply(draft(3), "ann", "why", 0, "1")
+        rig.platform.fault = "down"
+        b = await rig.node("b", live=("a", "ghost"))
+        await spin()
+        gone = rig.nodes.pop("a")
+        c = await rig.node("c", live=("b",))
+        await spin()
+        assert (b.current(), c.current()) == (None, None)
+        rig.nodes["a"] = gone
+        d = await rig.node("d", live=("a", "b"))
+        await spin()
+        assert d.current().version == 1
+
+    run(scenario, monkeypatch)
+
+
 def test_silence_makes_the_configuration_stale(monkeypatch):
     async def scenario(rig):
         a = await rig.node("a")
