Give the fake platform the stand-in's store; real prefix hashes; stop one process of a virtual loop

A fake stream now buffers what has arrived, as a connection does, so that a process which wakes finds bytes that it must not send any more. The lagging list shows endpoints as late as instances.

--- a/tests/standins/costs.py
+++ b/tests/standins/costs.py
@@ -5,8 +5,6 @@
 OUTPUT_TOKENS_PER_PREFILL_TOKEN = 50 / 1000
 """Output tokens that cost as much as the prefill of one token."""
 KV_BYTES_PER_TOKEN = 160_000
-PREFIX_PIECE_CHARS = 1024
-"""Characters of a prompt that are cached and hashed together."""
 PREFIX_PIECES = 4096
 """Pieces that an engine's prefix cache holds."""
 CACHE_EVENT_LAG_S = 0.5
--- a/tests/standins/engine_core.py
+++ b/tests/standins/engine_core.py
@@ -232,9 +232,11 @@
         if blocks > self._blocks_free:
             return expression.Error(errors.EndpointFull(self.name))
         self._blocks_free -= blocks
-        cached = self._cache.cached_tokens(order.prompt, order.prompt_tokens)
+        cached = self._cache.cached_tokens(
+            order.prompt, order.model, order.prompt_tokens
+        )
         await asyncio.sleep(self.cost.prefill_s(order.prompt_tokens - cached))
-        self._cache.store(order.prompt)
+        self._cache.store(order.prompt, order.model)
         life_s = self.cost.kv_life_s
         loop = asyncio.get_running_loop()
         timer = loop.call_later(life_s, self._drop_kv, handle)
--- a/tests/standins/engine_core_cache.py
+++ b/tests/standins/engine_core_cache.py
@@ -3,22 +3,12 @@
 import asyncio
 import collections
 import random
-import zlib
 
 from seam_model import endpoints
+from seam_policy import prefix
 from standins import costs
 
 
-def prefix_hashes(prompt: str) -> list[int]:
-    """Returns a hash for every whole-piece prefix of a prompt."""
-    size = costs.PREFIX_PIECE_CHARS
-    value, found = 0, []
-    for start in range(0, len(prompt) - size + 1, size):
-        value = zlib.crc32(prompt[start : start + size].encode(), value)
-        found.append(value)
-    return found
-
-
 class PrefixCache:
     """Least recently used prompt prefixes in limited memory."""
 
@@ -28,20 +18,20 @@
         self._events: list[tuple[float, endpoints.CacheEvent]] = []
         self._seq = 0
 
-    def cached_tokens(self, prompt: str, tokens: int) -> int:
+    def cached_tokens(self, prompt: str, model: str, tokens: int) -> int:
         """Returns how many of a prompt's tokens need no prefill."""
         hits = 0
-        for value in prefix_hashes(prompt):
+        for value in prefix.prefix_hashes(prompt, model):
             if value not in self._pieces:
                 break
             self._pieces.move_to_end(value)
             hits += 1
         chars = max(len(prompt), 1)
-        return tokens * hits * costs.PREFIX_PIECE_CHARS // chars
+        return tokens * hits * prefix.PIECE_CHARS // chars
 
-    def store(self, prompt: str) -> None:
+    def store(self, prompt: str, model: str) -> None:
         """Stores every prefix of a prompt, evicting old ones."""
-        for value in prefix_hashes(prompt):
+        for value in prefix.prefix_hashes(prompt, model):
             if value not in self._pieces:
                 self._publish(value, stored=True)
             self._pieces[value] = None
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextvars
+import inspect
 import random
 from typing import Any
 
@@ -18,6 +20,7 @@
 from seam_node.ports import platform
 from seam_node.ports import service
 from standins import engine_core
+from standins import platform_core
 from standins import service_core
 
 PLATFORM = "platform"
@@ -26,7 +29,6 @@
 SILENCE_S = 1.0
 """Time without an event after which a stream counts as lost."""
 FLEET_LAG_S = 2.0
-ANNOUNCE_LIFE_S = 5.0
 
 
 def _now() -> float:
@@ -47,6 +49,8 @@
         """Share of a delay that varies; above 1, messages overtake."""
         self.loss = 0.0
         self._rng, self._near_s, self._far_s = rng, near_s, far_s
+        self.dead: set[str] = set()
+        """Names that neither send nor receive any more."""
         self._cuts: set[tuple[str, str]] = set()
         self._thawed: dict[str, asyncio.Event] = {}
 
@@ -71,13 +75,17 @@
     async def travel(self, source: str, target: str) -> bool:
         """Waits for a message's way; False when it is lost."""
         await self._running(source)
-        if (source, target) in self._cuts or self._rng.random() < self.loss:
+        if self._is_cut(source, target) or self._rng.random() < self.loss:
             return False
         near = self.places.get(source) == self.places.get(target)
         delay_s = self._near_s if near else self._far_s
         await asyncio.sleep(delay_s * (1 + self.jitter * self._rng.random()))
         await self._running(target)
-        return (source, target) not in self._cuts
+        return not self._is_cut(source, target)
+
+    def _is_cut(self, source: str, target: str) -> bool:
+        gone = source in self.dead or target in self.dead
+        return gone or (source, target) in self._cuts
 
     async def _running(self, name: str) -> None:
         while name in self._thawed:
@@ -95,7 +103,7 @@
     if not await links.travel(source, target):
         await asyncio.sleep(timeout_s)
         return expression.Error(errors.EndpointUnreachable(target))
-    task = asyncio.ensure_future(call())
+    task = _spawn_outside(call())
     kept = False
     try:
         done, _ = await asyncio.wait({task}, timeout=timeout_s)
@@ -108,6 +116,12 @@
     return expression.Error(errors.EndpointLost(target))
 
 
+def _spawn_outside(coro: Any) -> asyncio.Task:
+    """Runs what belongs to no instance, so that none can stop it."""
+    loop = asyncio.get_running_loop()
+    return loop.create_task(coro, context=contextvars.Context())
+
+
 def _abandon(task: asyncio.Task) -> None:
     if task.cancelled() or task.exception() or task.result().is_error():
         return
@@ -119,21 +133,35 @@
 
 
 class _Stream(engine.DecodeStream):
+    """What has arrived waits here, as in the buffer of a connection."""
+
     def __init__(self, links, source, target, reader):
         self._links, self._source, self._target = links, source, target
         self._reader = reader
+        self._arrived: asyncio.Queue = asyncio.Queue()
+        self._pump = _spawn_outside(self._receive())
+
+    async def _receive(self) -> None:
+        while True:
+            part = await self._reader.read()
+            if not await self._links.travel(self._target, self._source):
+                return
+            self._arrived.put_nowait(part)
+            if part.is_error() or part.ok is None:
+                return
 
     async def read(self) -> expression.Result:
-        lost = expression.Error(errors.EndpointLost(self._target))
         try:
-            part = await asyncio.wait_for(self._reader.read(), SILENCE_S)
+            return await asyncio.wait_for(self._arrived.get(), SILENCE_S)
         except TimeoutError:
-            return lost
-        arrived = await self._links.travel(self._target, self._source)
-        return part if arrived else lost
+            return expression.Error(errors.EndpointLost(self._target))
 
     async def close(self) -> None:
+        self._pump.cancel()
         self._reader.detach()
+        if self._arrived.empty():
+            lost = expression.Error(errors.EndpointLost(self._target))
+            self._arrived.put_nowait(lost)
 
 
 class FakeEngine(engine.Engine):
@@ -316,81 +344,15 @@
 # Platform
 
 
-class Store:
-    """The platform's objects and list, shared by all `FakePlatform`s."""
+class Store(platform_core.PlatformCore):
+    """The stand-in platform with faults, shared by all `FakePlatform`s."""
 
     def __init__(self):
+        super().__init__(_now, FLEET_LAG_S)
         self.down = False
+        self.latency_s = 0.0
         self.lose_answers = 0
         """Number of coming writes that take effect without an answer."""
-        self.writes = 0
-        self.objects: dict[str, platform.Stored] = {}
-        self.changed = asyncio.Event()
-        self._versions: dict[str, int] = {}
-        self._endpoints: list[tuple[float, tuple]] = [(0.0, ())]
-        self._announced: dict[str, list] = {}
-
-    def set_endpoints(
-        self, records: Iterable[endpoints.EndpointRecord]
-    ) -> None:
-        """Sets the endpoints that the list will show."""
-        self._endpoints.append((_now(), tuple(records)))
-
-    def announce(self, record: endpoints.InstanceRecord) -> None:
-        self._announced.setdefault(record.name, []).append((_now(), record))
-
-    def fleet(self) -> endpoints.FleetList:
-        """Returns the list as it was `FLEET_LAG_S` ago."""
-        until = _now() - FLEET_LAG_S
-        old = [shown for at, shown in self._endpoints if at <= until]
-        shown = old[-1] if old else self._endpoints[0][1]
-        instances = []
-        for name in sorted(self._announced):
-            recent = [
-                record
-                for at, record in self._announced[name]
-                if until - ANNOUNCE_LIFE_S < at <= until
-            ]
-            instances.extend(recent[-1:])
-        return endpoints.FleetList(tuple(instances), shown)
-
-    def get(self, key: str) -> expression.Result:
-        if key not in self.objects:
-            return expression.Error(errors.ObjectMissing(key))
-        return expression.Ok(self.objects[key])
-
-    def put(self, key: str, data: bytes, expected: int) -> expression.Result:
-        conflict = self._conflict(key, expected)
-        if conflict is not None:
-            return conflict
-        version = self._versions.get(key, 0) + 1
-        self._versions[key] = version
-        self.objects[key] = platform.Stored(key, version, data)
-        self._wake()
-        return expression.Ok(version)
-
-    def delete(self, key: str, expected: int) -> expression.Result:
-        if key not in self.objects:
-            return expression.Error(errors.ObjectMissing(key))
-        conflict = self._conflict(key, expected)
-        if conflict is not None:
-            return conflict
-        del self.objects[key]
-        self._wake()
-        return expression.Ok(None)
-
-    def _conflict(self, key: str, expected: int) -> expression.Result | None:
-        stored = self.objects.get(key)
-        current = stored.version if stored else platform.ABSENT
-        if current == expected:
-            return None
-        error = errors.VersionConflict(key, expected, current)
-        return expression.Error(error)
-
-    def _wake(self) -> None:
-        self.writes += 1
-        self.changed.set()
-        self.changed = asyncio.Event()
 
 
 class FakePlatform(platform.Platform):
@@ -408,16 +370,19 @@
     async def _call(self, what: str, call: Callable, write: bool = False):
         unavailable = expression.Error(errors.PlatformUnavailable(what))
         there = await self._links.travel(self._name, PLATFORM)
+        await asyncio.sleep(self._store.latency_s)
         if self._store.down:
             return unavailable
         if not there:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return unavailable
         result = call()
+        if inspect.iscoroutine(result):
+            result = await result
         lost = write and self._store.lose_answers > 0
         self._store.lose_answers -= lost
         back = await self._links.travel(PLATFORM, self._name)
-        if back and not lost:
+        if back and not lost and not self._store.down:
             return result
         await asyncio.sleep(CALL_TIMEOUT_S)
         if write:
@@ -441,27 +406,16 @@
 
     async def list_keys(self, prefix):
         def read():
-            keys = [k for k in self._store.objects if k.startswith(prefix)]
-            return expression.Ok(tuple(sorted(keys)))
+            return expression.Ok(self._store.list_keys(prefix))
 
         return await self._call("list_keys", read)
 
     async def watch(self, key, above, timeout_s):
-        end = _now() + timeout_s
-        while True:
-            changed = self._store.changed
-            found = await self._call("watch", lambda: self._store.get(key))
-            missing = found.is_error() and isinstance(
-                found.error, errors.ObjectMissing
-            )
-            if found.is_error() and not missing:
-                return found
-            if found.is_ok() and found.ok.version > above:
-                return found
-            try:
-                await asyncio.wait_for(changed.wait(), max(end - _now(), 0))
-            except TimeoutError:
-                return expression.Ok(None)
+        async def wait():
+            found = await self._store.watch(key, above, timeout_s)
+            return expression.Ok(found)
+
+        return await self._call("watch", wait)
 
     async def fleet(self):
         return await self._call(
--- a/tests/standins/platform_core.py
+++ b/tests/standins/platform_core.py
@@ -26,7 +26,7 @@
         self._last_version: dict[str, int] = {}
         self._changed = asyncio.Event()
         self._instances: dict[str, list[_Seen]] = {}
-        self._endpoints: dict[str, endpoints.EndpointRecord] = {}
+        self._endpoints: dict[str, list[_Seen]] = {}
 
     def get(self, key: str) -> expression.Result:
         """Returns an object, or `ObjectMissing`."""
@@ -88,7 +88,8 @@
 
     def register(self, record: endpoints.EndpointRecord) -> None:
         """Adds or replaces an endpoint."""
-        self._endpoints[record.name] = record
+        seen = self._endpoints.setdefault(record.name, [])
+        seen.append(_Seen(self._now(), record))
 
     def fleet(self) -> endpoints.FleetList:
         """Returns the lagging list."""
@@ -99,8 +100,11 @@
             known = [s for s in self._instances[name] if s.at_s <= at_s]
             if known and known[-1].at_s > at_s - ANNOUNCE_LIFE_S:
                 shown.append(known[-1].record)
-        ends = tuple(self._endpoints[name] for name in sorted(self._endpoints))
-        return endpoints.FleetList(tuple(shown), ends)
+        ends = []
+        for name in sorted(self._endpoints):
+            known = [s for s in self._endpoints[name] if s.at_s <= at_s]
+            ends.extend(each.record for each in known[-1:])
+        return endpoints.FleetList(tuple(shown), tuple(ends))
 
     def _conflict(
         self, key: str, expected: int
@@ -119,4 +123,4 @@
 @attrs.frozen
 class _Seen:
     at_s: float
-    record: endpoints.InstanceRecord
+    record: endpoints.InstanceRecord | endpoints.EndpointRecord
