--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # The packages come first: tests/ holds folders of the same names.
 export PYTHONPATH := packages/seam_policy:packages/seam_model:packages/seam_node:packages/seam_ctl:tests:.
 
-.PHONY: demo test lint format bench measure slopes soak
+.PHONY: demo hold test lint format bench measure slopes soak
 
 .venv/.installed: requirements.txt packages/seam_policy/pyproject.toml packages/seam_model/pyproject.toml packages/seam_node/pyproject.toml packages/seam_ctl/pyproject.toml
 	python3 -m venv .venv
@@ -14,6 +14,9 @@
 demo: .venv/.installed
 	$(PY) -m bench.demo
 
+hold: .venv/.installed
+	$(PY) -m bench.demo --hold
+
 test: .venv/.installed
 	$(PY) -m tools.known_red
 
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,6 +11,7 @@
 
 from bench import caller
 from bench import cluster
+from bench import hold
 from seam_model import ids
 from standins import engine_core
 
@@ -175,11 +176,17 @@
         self._tally.doubled += len(executed) - len(set(executed))
 
 
-async def main() -> int:
-    """Starts the cluster, runs the demo and returns the exit code."""
+async def main(holds: bool = False) -> int:
+    """Starts the cluster, runs the demo and returns the exit code.
+
+    With `holds`, the cluster is kept up for people in place of the demo.
+    """
     clu = cluster.Cluster()
     try:
         await clu.start()
+        if holds:
+            await hold.hold(clu)
+            return 0
         tally = await Demo(clu).run()
     finally:
         await clu.close()
@@ -188,4 +195,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(main("--hold" in sys.argv[1:])))
--- /dev/null
+++ b/packages/seam_ctl/seam_ctl/output.py
@@ -0,0 +1,99 @@
+"""Prints answers: tables for people, JSON for programs."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import os
+import sys
+from typing import Annotated
+from typing import Any
+from typing import NoReturn
+
+import attrs
+import expression
+import rich.console
+import rich.markup
+import rich.table
+import typer
+
+from seam_ctl import client
+from seam_ctl import exits
+from seam_ctl import profile
+from seam_model import admin
+from seam_model import codec
+from seam_model import errors
+
+PLAIN_WIDTH = 160
+"""Columns of a table that is not shown on a terminal."""
+
+JsonFlag = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+@attrs.frozen
+class Options:
+    """Options that stand before the command."""
+
+    url: str = ""
+    token: str = attrs.field(default="", repr=False)
+    profile: str = ""
+
+
+def fail(error: errors.SeamError, as_json: bool = False) -> NoReturn:
+    """Prints a failure and ends with its exit code."""
+    if as_json:
+        sys.stdout.write(codec.to_json(admin.body_of(error)).decode() + "\n")
+    else:
+        typer.echo(error.describe(), err=True)
+    raise typer.Exit(exits.code_of(error))
+
+
+def unwrap(result: expression.Result, as_json: bool = False) -> Any:
+    """Returns a success, or prints the failure and ends."""
+    if result.is_error():
+        fail(result.error, as_json)
+    return result.ok
+
+
+def connect(ctx: typer.Context, as_json: bool = False) -> profile.Profile:
+    """Returns the address and token of this command."""
+    given = ctx.obj or Options()
+    found = profile.find(given.url, given.token, given.profile, os.environ)
+    return unwrap(found, as_json)
+
+
+def ask(
+    ctx: typer.Context,
+    call: Callable[[client.AdminClient], Awaitable[expression.Result]],
+    as_json: bool = False,
+) -> Any:
+    """Returns what an instance answers, or prints the failure and ends."""
+    found = connect(ctx, as_json)
+
+    async def run() -> expression.Result:
+        return await call(client.AdminClient(found.url, found.token))
+
+    return unwrap(asyncio.run(run()), as_json)
+
+
+def show_json(value: Any) -> None:
+    """Prints an attrs object as JSON."""
+    sys.stdout.write(codec.to_json(value).decode() + "\n")
+
+
+def table(
+    columns: Iterable[str], rows: Iterable[Iterable[Any]], title: str = ""
+) -> None:
+    """Prints a table; long cells are wrapped."""
+    width = None if sys.stdout.isatty() else PLAIN_WIDTH
+    made = rich.table.Table(title=title or None, title_justify="left")
+    for column in columns:
+        made.add_column(column, overflow="fold")
+    for row in rows:
+        made.add_row(*(rich.markup.escape(str(cell)) for cell in row))
+    rich.console.Console(width=width).print(made)
+
+
+def say(text: str) -> None:
+    """Prints a line."""
+    typer.echo(text)
--- a/packages/seam_model/seam_model/codec.py
+++ b/packages/seam_model/seam_model/codec.py
@@ -42,6 +42,10 @@
         31: peers.RunQuery,
         32: peers.MirrorSync,
         33: peers.MirrorSyncAnswer,
+        40: peers.StatusQuery,
+        41: peers.StatusAnswer,
+        42: peers.TraceQuery,
+        43: peers.TraceAnswer,
     }
 )
 _TAGS = {cls: tag for tag, cls in PEER_MESSAGES.items()}
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -422,12 +422,67 @@
 
 @attrs.frozen
 class Denied(SeamError):
-    """The operator's token is unknown or lacks the role."""
+    """The operator's token lacks the role."""
 
     code = "denied"
     needed: str
 
 
+@attrs.frozen
+class InputInvalid(SeamError):
+    """An operator's request has problems, all of them listed."""
+
+    code = "input_invalid"
+    problems: tuple[BadInput, ...]
+
+    def describe(self) -> str:
+        """Returns one line for each problem."""
+        return list_problems(self.code, self.problems)
+
+
+@attrs.frozen
+class TokenUnknown(SeamError):
+    """The operator's token is missing or unknown."""
+
+    code = "token_unknown"
+
+
+@attrs.frozen
+class NotFound(SeamError):
+    """What the operator named does not exist."""
+
+    code = "not_found"
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class AdminUnreachable(SeamError):
+    """No answer came from an instance's operators' address."""
+
+    code = "admin_unreachable"
+    url: str
+    sent: bool
+    """Whether the instance may have received the request."""
+
+
+@attrs.frozen
+class AdminAnswerUnknown(SeamError):
+    """The answer is not one that this program knows."""
+
+    code = "admin_answer_unknown"
+    status: int
+    detail: str
+
+
+@attrs.frozen
+class ProfileInvalid(SeamError):
+    """The operator's profile or environment lacks what a command needs."""
+
+    code = "profile_invalid"
+    problem: str
+
+
 @attrs.frozen
 class ConfigConflict(SeamError):
     """Another change was accepted first."""
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -260,3 +260,32 @@
 
     version: int
     data: bytes
+
+
+# Operators' questions
+
+
+@attrs.frozen
+class StatusQuery:
+    """Asks an instance for its `admin.InstanceStatus`."""
+
+
+@attrs.frozen
+class StatusAnswer:
+    """An `admin.InstanceStatus` as JSON."""
+
+    data: bytes
+
+
+@attrs.frozen
+class TraceQuery:
+    """Asks an instance how a request went there."""
+
+    request: str
+
+
+@attrs.frozen
+class TraceAnswer:
+    """An `admin.RequestTrace` as JSON; empty for an unknown request."""
+
+    data: bytes
--- a/packages/seam_node/seam_node/controllers/claims.py
+++ b/packages/seam_node/seam_node/controllers/claims.py
@@ -123,6 +123,10 @@
         """Gives up a claim; only if no byte of its order was sent."""
         self._release(ids.pack(claim.key), claim.nonce)
 
+    def unstored(self) -> int:
+        """Returns how many outcomes and releases are not stored yet."""
+        return len(self._unstored)
+
     async def flush(self) -> None:
         """Waits until every outcome and release is stored or too late."""
         while self._unstored:
--- a/packages/seam_node/seam_node/controllers/drain.py
+++ b/packages/seam_node/seam_node/controllers/drain.py
@@ -32,6 +32,8 @@
     """Asks the controller to start leaving, or to hurry if it has."""
 
     reason: str
+    hurries: bool = True
+    """Whether it hurries an instance that is leaving already."""
 
 
 class DrainController(task.Task):
@@ -68,6 +70,10 @@
         """Starts leaving; a second call skips every wait but for requests."""
         self.tell(Begin(reason))
 
+    async def begin_calmly(self, reason: str) -> None:
+        """Starts leaving and waits for that; a second call does nothing."""
+        await self.ask(Begin(reason, hurries=False))
+
     def admit(self) -> expression.Result[None, errors.InstanceLeaving]:
         """Counts a new request in, or refuses with `InstanceLeaving`."""
         if self.phase >= Phase.REFUSING:
@@ -91,7 +97,8 @@
         if not isinstance(message, Begin):
             return
         if self._begun:
-            self._hurry.set()
+            if message.hurries:
+                self._hurry.set()
             return
         self._begun = True
         self.reason = message.reason
--- a/packages/seam_node/seam_node/controllers/engines.py
+++ b/packages/seam_node/seam_node/controllers/engines.py
@@ -56,6 +56,10 @@
         """Returns an endpoint's record."""
         return self._records.get(name)
 
+    def records(self) -> tuple[endpoints.EndpointRecord, ...]:
+        """Returns every listed endpoint, by name."""
+        return tuple(self._records[name] for name in sorted(self._records))
+
     def engine(self, name: str) -> engine.Engine:
         """Returns the connection to a listed engine."""
         if name not in self._engines:
--- a/packages/seam_node/seam_node/daemon.py
+++ b/packages/seam_node/seam_node/daemon.py
@@ -13,8 +13,10 @@
 import typer
 
 from seam_model import endpoints
+from seam_model import errors
 from seam_model import settings as node_settings
 from seam_node import logs
+from seam_node import metrics
 from seam_node import node
 from seam_node.adapters import engine_http
 from seam_node.adapters import peer_tcp
@@ -58,13 +60,14 @@
     incarnation = int(time.time() * MICROS_PER_S)
     name = settings.instance.name
     log = logs.Log(name)
+    meter = metrics.Metrics()
     network = peer_tcp.TcpPeerNetwork(
         name,
         incarnation,
         listen.peer_host,
         listen.peer_port,
         settings.peer_key(),
-        refused=lambda error: log.error("peer_refused", error),
+        refused=lambda error: _peer_refused(log, meter, error),
         failed=lambda peer, exc: log.event(
             "peer_handler_failed", "error", peer=peer, detail=repr(exc)
         ),
@@ -92,7 +95,9 @@
         engine_http.HttpEngineFactory(),
         service_http.HttpService(),
     )
-    instance = node.Node(settings, record, ports, random.Random(incarnation))
+    instance = node.Node(
+        settings, record, ports, random.Random(incarnation), meter=meter
+    )
     _leave_on_signals(instance)
     await instance.start()
     server = callers.make_server(instance)
@@ -107,6 +112,13 @@
     await instance.close()
 
 
+def _peer_refused(
+    log: logs.Log, meter: metrics.Metrics, error: errors.SeamError
+) -> None:
+    meter.peer_refused(error.code)
+    log.error("peer_refused", error)
+
+
 def _log_to(settings: node_settings.LogSettings) -> None:
     streams = {"stderr": sys.stderr, "stdout": sys.stdout}
     stream = streams.get(settings.destination)
--- a/packages/seam_node/seam_node/filters/account.py
+++ b/packages/seam_node/seam_node/filters/account.py
@@ -31,6 +31,8 @@
         ctx.trace.outcome = outcome
         took_s = ctx.now() - ctx.arrived_at
         self._metrics.request_ended(kind, ctx.trace.rank, outcome, took_s)
+        if ctx.attempt:
+            self._metrics.retried(kind, ctx.attempt)
         if ctx.first_token_at is not None:
             first_s = ctx.first_token_at - ctx.arrived_at
             self._metrics.first_token(ctx.trace.rank, first_s)
--- a/packages/seam_node/seam_node/metrics.py
+++ b/packages/seam_node/seam_node/metrics.py
@@ -60,10 +60,34 @@
             registry=self.registry,
         )
 
-    def gauge(self, name: str, text: str, source: object) -> None:
-        """Adds a gauge whose value `source()` returns when it is read."""
-        gauge = prometheus_client.Gauge(name, text, registry=self.registry)
-        gauge.set_function(source)
+        self._retries = self._counter(
+            "seam_retries_total", "Repeated attempts.", "kind"
+        )
+        self._platform = self._counter(
+            "seam_platform_calls_total",
+            "Calls to the platform that ended.",
+            "operation",
+            "outcome",
+        )
+        self._denied = self._counter(
+            "seam_operator_denied_total", "Operators' denied tries.", "reason"
+        )
+        self._actions = self._counter(
+            "seam_operator_actions_total", "Operators' actions.", "action"
+        )
+        self._refused = self._counter(
+            "seam_peers_refused_total", "Strangers refused as peers.", "code"
+        )
+        self._reaped = self._counter(
+            "seam_streams_reaped_total", "Streams cancelled for no holder."
+        )
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, text, labels, registry=self.registry
+        )
 
     def request_ended(
         self, kind: str, rank: str, outcome: str, took_s: float
@@ -89,6 +113,39 @@
         """Counts prompt tokens whose prefill was thrown away."""
         self._wasted.inc(tokens)
 
+    def retried(self, kind: str, count: int) -> None:
+        """Counts repeated attempts of a request."""
+        self._retries.labels(kind).inc(count)
+
+    def platform_call(self, operation: str, outcome: str) -> None:
+        """Counts a call to the platform that ended."""
+        self._platform.labels(operation, outcome).inc()
+
+    def operator_denied(self, reason: str) -> None:
+        """Counts a denied try; `reason` is a failure's code."""
+        self._denied.labels(reason).inc()
+
+    def operator_action(self, action: str) -> None:
+        """Counts an operator's action."""
+        self._actions.labels(action).inc()
+
+    def peer_refused(self, code: str) -> None:
+        """Counts a stranger that was refused as a peer."""
+        self._refused.labels(code).inc()
+
+    def stream_reaped(self) -> None:
+        """Counts a stream that was cancelled for lack of a holder."""
+        self._reaped.inc()
+
+    def outcomes(self) -> dict[str, int]:
+        """Returns how many requests ended since the start, by outcome."""
+        found: dict[str, int] = {}
+        for sample in self._requests.collect()[0].samples:
+            if sample.name.endswith("_total"):
+                outcome = sample.labels["outcome"]
+                found[outcome] = found.get(outcome, 0) + int(sample.value)
+        return found
+
     def text(self) -> bytes:
         """Returns the metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from seam_model import admin
 from seam_model import config
 from seam_model import endpoints
 from seam_model import errors
@@ -13,8 +14,11 @@
 from seam_model import requests
 from seam_model import settings as node_settings
 from seam_node import entry
+from seam_node import gauges
 from seam_node import logs
 from seam_node import metrics
+from seam_node import status
+from seam_node.adapters import platform_meter
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -24,6 +28,7 @@
 from seam_node.controllers import membership
 from seam_node.controllers import membership_view
 from seam_node.controllers import mirror
+from seam_node.controllers import observe
 from seam_node.controllers import owner
 from seam_node.controllers import ownership
 from seam_node.controllers import planner
@@ -76,6 +81,7 @@
         ports: Ports,
         rng: random.Random,
         policy: placement.Placement | None = None,
+        meter: metrics.Metrics | None = None,
     ):
         """Wires controllers and filters; call inside a running loop.
 
@@ -85,13 +91,17 @@
             ports: What it talks to.
             rng: Source of nonces and jitter.
             policy: Placement to use in place of the product's own.
+            meter: Metrics that parts outside the node count in as well.
         """
         self.settings = settings
         self.record = record
-        self.ports = ports
         self.rng = rng
         self.log = logs.Log(record.name)
-        self.metrics = metrics.Metrics()
+        self.metrics = meter or metrics.Metrics()
+        counted = platform_meter.MeteredPlatform(
+            ports.platform, self.metrics.platform_call
+        )
+        self.ports = attrs.evolve(ports, platform=counted)
         self.runs = runs.RunTable()
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
@@ -99,6 +109,7 @@
         self._make_engines(policy or placement.Product())
         self._make_orders()
         self._make_drain()
+        self._make_observer()
         self._limiter = limits.WorkspaceLimiter(
             limits.WorkspaceLimits(1000.0, 1000.0, 1000)
         )
@@ -192,6 +203,33 @@
             defaults,
         )
 
+    # Operators
+
+    def status(self) -> admin.InstanceStatus:
+        """Returns what this instance says of itself."""
+        reason = self.not_ready()
+        return admin.InstanceStatus(
+            name=self.record.name,
+            data_centre=self.record.data_centre,
+            incarnation=self.record.incarnation,
+            url=self.record.url,
+            admin_url=self.record.admin_url,
+            state=status.phase_name(self.drain.phase),
+            config_version=self.config.version(),
+            in_progress=self.drain.in_progress,
+            not_ready=reason.describe() if reason else "",
+            live_peers=len(self._live_peers()),
+            unstored_claims=self.claims.unstored(),
+            ledgers=status.ledgers(self.owner),
+            outcomes=self.metrics.outcomes(),
+        )
+
+    async def fleet_status(self) -> admin.FleetStatus:
+        """Returns the status of every instance and endpoint."""
+        listed = status.endpoint_list(self.directory, self.ownership)
+        instances = await self.observer.instances()
+        return admin.FleetStatus(self.record.name, instances, listed)
+
     async def _run(
         self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
     ) -> base.Context:
@@ -296,6 +334,16 @@
             self.record.name, self._on_phase, (self.claims.flush,)
         )
 
+    def _make_observer(self) -> None:
+        self.observer = observe.Observer(
+            self.record.name,
+            self.ports.peers,
+            self.members.view,
+            self.status,
+            self.runs,
+        )
+        self.metrics.registry.register(gauges.StatusCollector(self.status))
+
     def _generate_filters(self) -> list[base.Filter]:
         """Returns the filters of model requests, outermost first."""
         data_centre = self.record.data_centre
@@ -410,6 +458,7 @@
         return done.is_ok()
 
     def _reaped(self, held: endpoints.HeldStream) -> None:
+        self.metrics.stream_reaped()
         self.log.event(
             "stream_reaped", request=held.request_id, owner=held.owner
         )
--- /dev/null
+++ b/packages/seam_node/seam_node/status.py
@@ -0,0 +1,50 @@
+"""What an instance says of itself to operators."""
+
+from typing import Any
+
+from seam_model import admin
+from seam_node.controllers import drain
+from seam_node.controllers import engines
+from seam_node.controllers import owner
+from seam_node.controllers import ownership
+from seam_policy import ledger
+
+
+def ledgers(controller: owner.OwnerController) -> tuple[Any, ...]:
+    """Returns an `admin.LedgerStatus` for each owned engine, by name."""
+    return tuple(
+        admin.LedgerStatus(
+            engine,
+            book.usable,
+            book.running,
+            book.waiting_of(ledger.URGENT),
+            book.waiting_of(ledger.OTHER),
+        )
+        for engine, book in sorted(controller.ledgers().items())
+    )
+
+
+def phase_name(phase: drain.Phase) -> str:
+    """Returns the name of a phase as operators read it."""
+    return phase.name.lower()
+
+
+def endpoint_list(
+    directory: engines.EngineDirectory, owners: ownership.Ownership
+) -> tuple[admin.EndpointStatus, ...]:
+    """Returns every listed endpoint, by name."""
+    return tuple(
+        admin.EndpointStatus(
+            record.name,
+            record.kind,
+            record.data_centre,
+            record.role.value if record.kind == "engine" else record.service,
+            (owners.owner_of(record.name) or "")
+            if record.kind == "engine"
+            else "",
+            record.slots if record.kind == "engine" else 0,
+            record.leaving,
+            directory.suspected(record.name),
+        )
+        for record in directory.records()
+    )
--- a/packages/seam_node/seam_node/web/refusals.py
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -9,9 +9,12 @@
 _STATUS: dict[type[errors.SeamError], int] = {
     errors.BadInput: 400,
     errors.BodyUnreadable: 400,
+    errors.InputInvalid: 400,
     errors.KeyOutsideWindow: 400,
     errors.WorkspaceUnknown: 401,
+    errors.TokenUnknown: 401,
     errors.Denied: 403,
+    errors.NotFound: 404,
     errors.ModelUnknown: 404,
     errors.ServiceUnknown: 404,
     errors.RunUnknown: 404,
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -180,6 +180,10 @@
         """Asks that have no answer yet."""
         return len(self._waiting)
 
+    def waiting_of(self, rank: int) -> int:
+        """Returns the asks of a rank that have no answer yet."""
+        return len(self._queues[rank])
+
     def held_by(self, rank: int) -> int:
         """Returns the grants that a rank holds."""
         return self._held[rank]
