--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -267,3 +267,32 @@
     data: bytes
     in_force: bool = True
     """Whether the sender serves by it; false while the sender starts."""
+
+
+# Operators' questions
+
+
+@attrs.frozen
+class StatusQuery:
+    """Asks an instance for its `admin.InstanceStatus`."""
+
+
+@attrs.frozen
+class StatusAnswer:
+    """An `admin.InstanceStatus` as JSON."""
+
+    data: bytes
+
+
+@attrs.frozen
+class TraceQuery:
+    """Asks an instance how a request went there."""
+
+    request: str
+
+
+@attrs.frozen
+class TraceAnswer:
+    """An `admin.RequestTrace` as JSON; empty for an unknown request."""
+
+    data: bytes
