Gate calls of plain services by rank on each instance

Cause: calls were sent on at once, so a flood of one rank queued inside the service and urgent calls timed out behind it. SlotLedger.configure now takes whole limits, one mechanism for engines and services.

--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -77,6 +77,10 @@
     urgent_reserve: float = _ratio()
     """Share of each engine that only urgent work may take."""
     queue_limit: int = _count()
+    service_slots: int = _count()
+    """Calls in progress from one instance at one endpoint of a service."""
+    service_target_s: float = _seconds()
+    """Time of a service call above which fewer are let in at once."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -170,14 +170,8 @@
     def _reconfigure(self) -> None:
         for engine, book in self._ledgers.items():
             record = self._directory.record(engine)
-            defaults = self._defaults(record) if record else None
-            if defaults is not None:
-                shares = defaults.admission
-                book.configure(
-                    shares.other_floor,
-                    shares.urgent_reserve,
-                    shares.queue_limit,
-                )
+            if record is not None:
+                book.configure(self._limits(record))
 
     def _ledger(self, engine: str) -> ledger.SlotLedger | None:
         if self._owners.owner_of(engine) != self._self_name:
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/service_gate.py
@@ -0,0 +1,146 @@
+"""Bounds the calls in progress at each plain service, by rank.
+
+A service is gated on each instance by a slot ledger, the same that engines
+have at their owners: urgent calls first, a floor for the other rank, fair
+shares between workspaces, and fewer slots when answers come too slowly.
+"""
+
+import asyncio
+import contextlib
+
+import attrs
+import expression
+
+from seam_model import config
+from seam_model import errors
+from seam_node.controllers import engines
+from seam_node.ports import clock
+from seam_policy import ledger
+
+MIN_SLOTS = 2
+PERMIT_ID_BYTES = 8
+
+Granted = expression.Result["Permit", errors.SeamError]
+
+
+@attrs.frozen
+class CallerShare:
+    """For whom a call is made."""
+
+    rank: int
+    workspace: str
+
+
+@attrs.frozen
+class Permit:
+    """The right to have one call in progress."""
+
+    service: str
+    permit_id: bytes
+
+
+class ServiceGates:
+    """Gates of all services on this instance.
+
+    It belongs to the event loop's thread. Only `enter` waits, for its turn.
+    """
+
+    def __init__(self, directory: engines.EngineDirectory, clk: clock.Clock):
+        """Takes the endpoints and the clock."""
+        self._directory = directory
+        self._clock = clk
+        self._ledgers: dict[str, ledger.SlotLedger] = {}
+        self._waiting: dict[bytes, asyncio.Future] = {}
+        self._last_id = 0
+
+    def ledgers(self) -> dict[str, ledger.SlotLedger]:
+        """Returns the ledgers by service, for status and metrics."""
+        return dict(self._ledgers)
+
+    async def enter(
+        self,
+        service: str,
+        share: CallerShare,
+        wait_s: float,
+        rule: config.Admission,
+    ) -> Granted:
+        """Waits for a turn, at most `wait_s` seconds.
+
+        Errors: `NoEndpoint` without a listed endpoint, `Overloaded`.
+        """
+        book = self._ledger(service, rule)
+        if book is None:
+            return expression.Error(errors.NoEndpoint(service))
+        self._last_id += 1
+        permit = Permit(service, self._last_id.to_bytes(PERMIT_ID_BYTES))
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[permit.permit_id] = fut
+        ask = ledger.SlotAsk(
+            permit.permit_id, share.rank, share.workspace, wait_s, 0, 1, 0.0
+        )
+        try:
+            self._deliver(book.ask(ask, self._clock.monotonic()))
+            action = await self._answer(book, permit, fut, wait_s)
+        except asyncio.CancelledError:
+            self._cancel(book, permit)
+            raise
+        if isinstance(action, ledger.Granted):
+            return expression.Ok(permit)
+        return expression.Error(errors.Overloaded(action.reason.value))
+
+    def leave(self, permit: Permit, took_s: float, failed: bool) -> None:
+        """Gives a turn back, with the time that the call took."""
+        book = self._ledgers[permit.service]
+        now = self._clock.monotonic()
+        self._deliver(book.release(permit.permit_id, 1, took_s, failed, now))
+
+    # Ledgers
+
+    def _ledger(
+        self, service: str, rule: config.Admission
+    ) -> ledger.SlotLedger | None:
+        count = len(self._directory.services(service))
+        if not count:
+            return None
+        limits = ledger.LedgerLimits(
+            slots=count * rule.service_slots,
+            other_floor=rule.other_floor,
+            urgent_reserve=rule.urgent_reserve,
+            queue_limit=rule.queue_limit,
+            overbook=0,
+            min_slots=MIN_SLOTS,
+            per_token_target_s=rule.service_target_s,
+            per_token_s=rule.service_target_s / 2,
+        )
+        book = self._ledgers.get(service)
+        if book is None:
+            book = ledger.SlotLedger(limits)
+            self._ledgers[service] = book
+        book.configure(limits)
+        return book
+
+    async def _answer(
+        self,
+        book: ledger.SlotLedger,
+        permit: Permit,
+        fut: asyncio.Future,
+        wait_s: float,
+    ) -> ledger.Action:
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(asyncio.shield(fut), wait_s)
+        self._cancel(book, permit)
+        return await fut
+
+    def _cancel(self, book: ledger.SlotLedger, permit: Permit) -> None:
+        now = self._clock.monotonic()
+        self._deliver(book.cancel(permit.permit_id, now))
+        fut = self._waiting.pop(permit.permit_id, None)
+        if fut is not None and not fut.done():
+            reason = ledger.DeclineReason.DROPPED
+            fut.set_result(ledger.Declined(permit.permit_id, reason))
+
+    def _deliver(self, actions: list[ledger.Action]) -> None:
+        for action in actions:
+            fut = self._waiting.pop(action.request_id, None)
+            if fut is not None and not fut.done():
+                fut.set_result(action)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -40,7 +40,9 @@
 from seam_node.controllers import roles_demand
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
+from seam_node.controllers import service_gate
 from seam_node.filters import account
+from seam_node.filters import admit
 from seam_node.filters import base
 from seam_node.filters import call
 from seam_node.filters import claim
@@ -111,6 +113,7 @@
         self.runs = runs.RunTable()
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
+        self.gates = service_gate.ServiceGates(self.directory, ports.clock)
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
@@ -195,7 +198,7 @@
         names = {site.name for site in self.members.view().live}
         names.discard(self.record.name)
         holders = await self.registry.holders(packed, tag)
-        for name in holders & names:
+        for name in sorted(holders & names):
             answer = await self.ports.peers.request(
                 name,
                 peers.CancelRun(packed, tag),
@@ -446,6 +449,7 @@
             ),
             identify.IdentifyFilter(self.settings.workspaces.keys),
             limit.LimitFilter(self._limiter, self.ports.clock),
+            admit.AdmitFilter(self.gates),
             claim.ClaimFilter(self.claims),
             call.CallFilter(
                 self.directory, self.ports.services, self._budget, self.rng
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -146,28 +146,21 @@
         self._queues = tuple(
             fair.FairQueue[_Waiting](limits.weights) for _ in _RANKS
         )
-        self._limit = concurrency.AdaptiveLimit(
-            limits.slots,
-            limits.min_slots,
-            limits.per_token_target_s,
-            limits.adapt_interval_s,
-        )
+        self._limit = _adaptive_limit(limits)
         self._limit.per_token.value = limits.per_token_s
         self._token_ratio = estimate.Ewma(1.0)
         self._typical_tokens = estimate.Ewma(256.0)
         self._urgent_rate = estimate.ArrivalRate(_RATE_WINDOW_S)
         self._reports = reconcile.Reconciler()
 
-    def configure(
-        self, other_floor: float, urgent_reserve: float, queue_limit: int
-    ) -> None:
-        """Sets the ranks' shares; they hold from the next decision on."""
-        self.limits = attrs.evolve(
-            self.limits,
-            other_floor=other_floor,
-            urgent_reserve=urgent_reserve,
-            queue_limit=queue_limit,
-        )
+    def configure(self, limits: LedgerLimits) -> None:
+        """Puts new limits in force; grants that are held stay held."""
+        if limits == self.limits:
+            return
+        per_token = self._limit.per_token
+        self.limits = limits
+        self._limit = _adaptive_limit(limits)
+        self._limit.per_token = per_token
 
     # Views
 
@@ -199,6 +192,10 @@
         """Returns the grants that a rank holds."""
         return self._held[rank]
 
+    def held_ids(self, rank: int) -> list[bytes]:
+        """Returns the ids of the grants that a rank holds."""
+        return [key for key, run in self._runs.items() if run.rank == rank]
+
     def holds(self, request_id: bytes) -> bool:
         """Tells whether a request holds a slot."""
         return request_id in self._runs
@@ -610,3 +607,12 @@
         self._typical_tokens.add(float(tokens))
         if not run.adopted and run.tokens > 0:
             self._token_ratio.add(tokens / run.tokens)
+
+
+def _adaptive_limit(limits: LedgerLimits) -> concurrency.AdaptiveLimit:
+    return concurrency.AdaptiveLimit(
+        limits.slots,
+        limits.min_slots,
+        limits.per_token_target_s,
+        limits.adapt_interval_s,
+    )
--- /dev/null
+++ b/tests/seam_node/controllers/test_service_gate.py
@@ -0,0 +1,95 @@
+"""A flood at a plain service leaves urgent calls their turn."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from bench import gate
+from seam_model import config_check
+from seam_model import endpoints
+from seam_model import errors
+from seam_node.controllers import engines
+from seam_node.controllers import service_gate
+from seam_policy import ledger
+from standins import virtual_loop
+
+URGENT = service_gate.CallerShare(ledger.URGENT, "curators")
+OTHER = service_gate.CallerShare(ledger.OTHER, "farms")
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_urgent_calls_are_served_in_a_flood(seed):
+    bare = virtual_loop.run(gate.measure(False, 3000.0, seed, 2.0))
+    gated = virtual_loop.run(gate.measure(True, 3000.0, seed, 2.0))
+    urgent, other = gated.outcomes
+    assert urgent.share(urgent.in_target) >= 0.97
+    assert other.answered > 0
+    assert other.late == 0
+    floor = other.answered / (other.answered + urgent.answered)
+    assert floor >= config_check.initial().defaults.admission.other_floor
+    # Without the gate the same flood makes the urgent calls late.
+    unguarded = bare.outcomes[ledger.URGENT]
+    assert unguarded.share(unguarded.in_target) < 0.5
+
+
+def _gates(count: int):
+    directory = engines.EngineDirectory(None, virtual_loop.VirtualClock())
+    directory.update(
+        endpoints.EndpointRecord(f"d{n}", "service", "", "x", service="s")
+        for n in range(count)
+    )
+    gates = service_gate.ServiceGates(directory, virtual_loop.VirtualClock())
+    rule = attrs.evolve(
+        config_check.initial().defaults.admission,
+        service_slots=1,
+        urgent_reserve=0.0,
+    )
+    return directory, gates, rule
+
+
+def test_a_cancelled_call_gives_its_turn_to_the_next():
+    async def main():
+        _, gates, rule = _gates(1)
+        first = await gates.enter("s", URGENT, 1.0, rule)
+        waiting = asyncio.ensure_future(gates.enter("s", OTHER, 0.4, rule))
+        cancelled = asyncio.ensure_future(gates.enter("s", URGENT, 0.4, rule))
+        await asyncio.sleep(0.1)
+        cancelled.cancel()
+        await asyncio.sleep(0)
+        gates.leave(first.ok, 0.1, False)
+        assert (await waiting).is_ok()
+        assert gates.ledgers()["s"].waiting == 0
+
+    virtual_loop.run(main())
+
+
+def test_a_call_without_a_turn_is_refused_in_time():
+    async def main():
+        _, gates, rule = _gates(1)
+        assert (await gates.enter("s", OTHER, 1.0, rule)).is_ok()
+        loop = asyncio.get_running_loop()
+        refused = await gates.enter("s", URGENT, 0.4, rule)
+        assert isinstance(refused.error, errors.Overloaded)
+        assert loop.time() <= 0.4 + 1e-6
+        assert gates.ledgers()["s"].running == 1
+
+    virtual_loop.run(main())
+
+
+def test_new_endpoints_bring_turns_and_keep_those_held():
+    async def main():
+        directory, gates, rule = _gates(1)
+        held = await gates.enter("s", OTHER, 1.0, rule)
+        directory.update(
+            endpoints.EndpointRecord(f"d{n}", "service", "", "x", service="s")
+            for n in range(3)
+        )
+        more = [await gates.enter("s", URGENT, 0.1, rule) for _ in range(3)]
+        assert [each.is_ok() for each in more] == [True, True, False]
+        gates.leave(held.ok, 0.1, False)
+        assert (await gates.enter("s", OTHER, 0.1, rule)).is_ok()
+        missing = await gates.enter("t", OTHER, 0.1, rule)
+        assert missing.error == errors.NoEndpoint("t")
+
+    virtual_loop.run(main())
