Stop a run in any phase when its caller goes or its deadline passes

The close of a caller's connection and the deadline were watched by the stream filter only. Ruled out: a lost cancel at the owner, as a DELETE in the queue was green. A filter of its own now watches both from the registration on. A caller that went before the first token may still come back within the resume window.

--- a/packages/seam_node/seam_node/controllers/runs.py
+++ b/packages/seam_node/seam_node/controllers/runs.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from seam_model import errors
 from seam_node.ports import engine as engine_port
 
 TRACE_LIMIT = 2000
@@ -16,6 +17,9 @@
     """Why a run is stopped before its stream ends."""
 
     CALLER_GONE = "caller_gone"
+    """May be resumed until the window ends."""
+    ABANDONED = "abandoned"
+    """The caller went and did not come back."""
     CANCELLED = "cancelled"
     HANDED_OVER = "handed_over"
     DEADLINE = "deadline"
@@ -133,6 +137,13 @@
         await run.stream.close()
 
 
+def stop_error(run: Run, stage: str) -> errors.SeamError:
+    """Returns the failure of a run that was stopped at a stage."""
+    if run.stop is Stop.DEADLINE:
+        return errors.DeadlinePassed(stage)
+    return errors.Cancelled(run.stop.value if run.stop else "")
+
+
 async def until_stopped(run: Run, awaitable: Any) -> Any | None:
     """Waits for `awaitable`; None and its cancellation if the run stops."""
     work = asyncio.ensure_future(awaitable)
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -26,7 +26,10 @@
 
     @abc.abstractmethod
     async def write(self, data: bytes) -> bool:
-        """Sends bytes of a stream; False once the caller is gone."""
+        """Sends bytes of a stream; False once the caller is gone.
+
+        The callback of `on_gone` was called before False is returned.
+        """
 
     @abc.abstractmethod
     def gone(self) -> bool:
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -95,7 +95,7 @@
                 return answer
             last = answer
             if ctx.run.stop is not None:
-                return errors.Cancelled(ctx.run.stop.value)
+                return runs.stop_error(ctx.run, self.name)
         return last
 
     async def _ask(
@@ -125,7 +125,7 @@
         if answered is None:
             slot = _Slot(candidate.name, owner)
             self._release(ctx, slot, failed=False)
-            return errors.Cancelled("caller")
+            return runs.stop_error(ctx.run, self.name)
         if answered.is_error():
             if isinstance(answered.error, errors.PeerTimeout):
                 self._release(ctx, _Slot(candidate.name, owner), failed=False)
--- a/packages/seam_node/seam_node/filters/stream.py
+++ b/packages/seam_node/seam_node/filters/stream.py
@@ -6,7 +6,6 @@
 
 from seam_model import endpoints
 from seam_model import errors
-from seam_node import task
 from seam_node.controllers import engines
 from seam_node.controllers import liveness
 from seam_node.controllers import runs
@@ -54,14 +53,11 @@
     ) -> base.Result:
         """Relays until the stream ends, or the run is stopped."""
         del proceed
-        ctx.sink.on_gone(lambda: self._caller_gone(ctx))
-        timer = asyncio.get_running_loop().call_later(
-            max(0.0, ctx.remaining_s()), self._deadline, ctx
-        )
+        if ctx.sink.gone():
+            await runs.stop_run(ctx.run, runs.Stop.CALLER_GONE)
         try:
             return await self._relay(ctx)
         finally:
-            timer.cancel()
             if ctx.stream is not None:
                 await ctx.stream.close()
 
@@ -98,7 +94,7 @@
         if fresh is None:
             return chunk.done
         if not await ctx.sink.write(fresh.data):
-            self._caller_gone(ctx)
+            await runs.stop_run(ctx.run, runs.Stop.CALLER_GONE)
             return False
         if ctx.first_token_at is None:
             ctx.first_token_at = ctx.now()
@@ -132,31 +128,8 @@
     async def _stopped(self, ctx: base.Context) -> base.Result:
         stop = ctx.run.stop
         ctx.note(self.name, f"stopped: {stop.value}")
-        if stop is runs.Stop.HANDED_OVER:
-            return base.fail(errors.Cancelled(stop.value))
-        if stop is runs.Stop.DEADLINE:
-            return base.fail(errors.DeadlinePassed(self.name))
-        if stop is runs.Stop.CALLER_GONE:
-            await self._await_return(ctx)
-        return base.fail(errors.Cancelled(ctx.run.stop.value))
-
-    async def _await_return(self, ctx: base.Context) -> None:
-        """Waits for the resume window, or until someone takes the run over."""
-        run = ctx.run
-        window_s = ctx.effective.resume_window_s
-        end = ctx.now() + window_s
-        while run.stop is runs.Stop.CALLER_GONE and ctx.now() < end:
-            run.stopped.clear()
-            try:
-                await asyncio.wait_for(run.stopped.wait(), end - ctx.now())
-            except TimeoutError:
-                return
-
-    def _caller_gone(self, ctx: base.Context) -> None:
-        if ctx.run.stop is None:
-            task.run_in_background(
-                runs.stop_run(ctx.run, runs.Stop.CALLER_GONE)
-            )
-
-    def _deadline(self, ctx: base.Context) -> None:
-        task.run_in_background(runs.stop_run(ctx.run, runs.Stop.DEADLINE))
+        while ctx.run.stop is runs.Stop.CALLER_GONE:
+            # Someone takes the run over, or the resume window ends.
+            ctx.run.stopped.clear()
+            await ctx.run.stopped.wait()
+        return base.fail(runs.stop_error(ctx.run, self.name))
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -111,7 +111,7 @@
             self._planner.prefill_ended(name, req.prompt_tokens)
         if done is None:
             await self._cancel(name, ctx.run)
-            return expression.Error(errors.Cancelled(ctx.run.stop.value))
+            return expression.Error(runs.stop_error(ctx.run, self.name))
         if done.is_error():
             await self._prefill_failed(ctx, name, done.error)
             return done
@@ -183,7 +183,7 @@
         if opened is None:
             decode.add_done_callback(_close_stream)
             await self._cancel(name, ctx.run)
-            return expression.Error(errors.Cancelled(ctx.run.stop.value))
+            return expression.Error(runs.stop_error(ctx.run, self.name))
         if opened.is_error():
             await self._decode_failed(ctx, name, opened.error)
         return opened
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -42,6 +42,7 @@
 from seam_node.filters import place
 from seam_node.filters import retry
 from seam_node.filters import stream
+from seam_node.filters import supervise
 from seam_node.filters import transfer
 from seam_node.ports import clock
 from seam_node.ports import engine
@@ -317,6 +318,7 @@
                 self.directory,
                 self.owner_id,
             ),
+            supervise.SuperviseFilter(),
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
--- /dev/null
+++ b/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""The promises, broken on purpose on a virtual clock."""
--- /dev/null
+++ b/tests/proofs/fleet.py
@@ -0,0 +1,301 @@
+"""Whole nodes on a virtual clock, over fakes at every port."""
+
+import asyncio
+import contextvars
+import json
+import os
+import random
+from typing import Any
+
+import attrs
+
+from seam_model import config
+from seam_model import config_check
+from seam_model import endpoints
+from seam_model import keys
+from seam_model import settings
+from seam_node import node
+from seam_node.filters import base
+from standins import engine_core
+from standins import fakes
+from standins import history
+from standins import service_core
+from standins import virtual_loop
+
+MODEL = "dedication-writer"
+SERVICE = "plank-ledger"
+WORKSPACE = "cebu-branch-1"
+SECRET = "5eed" * 16
+PLACES = ("cebu-a", "cebu-b", "iloilo-a", "bohol-a")
+START_S = 8.0
+"""Time in which every instance knows all others and the configuration."""
+_KINDS = ("prefill", "decode", "resume")
+_PREFILL = endpoints.EngineRole.PREFILL
+
+
+def seeds(few: int) -> list[int]:
+    """Returns the fixed seeds of a test, more of them in a soak."""
+    return list(range(1, 1 + int(os.environ.get("SOAK_SEEDS", few))))
+
+
+def process(name: str) -> contextvars.Context:
+    """Returns the context of what a process runs."""
+    context = contextvars.Context()
+    context.run(virtual_loop.PROCESS.set, name)
+    return context
+
+
+def run(coro: Any) -> Any:
+    """Runs a scenario to its end."""
+    return virtual_loop.run(coro, loop=virtual_loop.FreezableLoop)
+
+
+def headers(workspace: str = WORKSPACE, **more: str) -> dict[str, str]:
+    """Returns the headers of a workspace's request."""
+    token = keys.make_workspace_token("k1", SECRET, workspace)
+    named = {key.replace("_", "-"): value for key, value in more.items()}
+    return {"authorization": f"Bearer {token}", **named}
+
+
+@attrs.define(eq=False)
+class Instance:
+    """One running node."""
+
+    node: node.Node
+    context: contextvars.Context
+    serving: dict[asyncio.Task, Any] = attrs.field(factory=dict)
+    """The sink of each request in progress."""
+
+
+class Fleet:
+    """Instances, engines, services and a platform with their links."""
+
+    def __init__(self, seed: int, instances: int = 5):
+        """Makes the outside; `start` makes the nodes."""
+        self.rng = random.Random(seed)
+        self.links = fakes.Links(random.Random(seed + 1), far_s=0.0045)
+        self.store = fakes.Store()
+        self.instances: dict[str, Instance] = {}
+        self.engines: dict[str, engine_core.EngineCore] = {}
+        self.services: dict[str, service_core.ServiceCore] = {}
+        self.names = [f"e{n}" for n in range(1, instances + 1)]
+        self.history = history.History()
+        self.incarnation = 0
+        self._networks: dict[str, fakes.FakePeerNetwork] = {}
+        self._seen: list[history.Sighting] = []
+
+    # Life
+
+    async def start(self, defaults: Any = lambda shipped: shipped) -> None:
+        """Starts everything and waits until all know each other."""
+        shipped = defaults(_defaults())
+        cfg = attrs.evolve(config_check.initial(), version=1, defaults=shipped)
+        self.store.put(config.CONFIG_KEY, config_check.encode(cfg), 0)
+        for n in range(3):
+            self.add_engine(f"prefill-{n + 1}", _PREFILL, PLACES[n])
+            role = endpoints.EngineRole.DECODE
+            self.add_engine(f"decode-{n + 1}", role, PLACES[n])
+        for n in range(2):
+            name = f"ledger-{n + 1}"
+            self.services[name] = service_core.ServiceCore(name)
+            self.list_endpoint(name, PLACES[n], "service", service=SERVICE)
+        for name in self.names:
+            await self.start_instance(name)
+        await asyncio.sleep(START_S)
+
+    def add_engine(
+        self, name: str, role: endpoints.EngineRole, place: str
+    ) -> None:
+        """Starts an engine and lists it."""
+        importer = fakes.kv_importer(self.links, name, self.engines)
+        core = engine_core.EngineCore(name, role, importer, self._rng())
+        core.models = (MODEL,)
+        self.engines[name] = core
+        self.list_endpoint(
+            name,
+            place,
+            "engine",
+            role=role,
+            models=(MODEL,),
+            slots=core.cost.slots,
+            kv_blocks=core.cost.kv_blocks,
+        )
+
+    def list_endpoint(
+        self, name: str, place: str, kind: str, **fields: Any
+    ) -> None:
+        """Shows an endpoint in the platform's list, or changes it there."""
+        self.links.places[name] = place
+        url = f"http://{name}"
+        record = endpoints.EndpointRecord(name, kind, url, place, **fields)
+        self.store.register(record)
+
+    async def start_instance(self, name: str) -> Instance:
+        """Starts a new incarnation of an instance."""
+        self.incarnation += 1
+        place = PLACES[int(name[1:]) % len(PLACES)]
+        self.links.places[name] = place
+        self.links.dead.discard(name)
+        record = endpoints.InstanceRecord(
+            name, f"http://{name}", "h", 1, place, self.incarnation
+        )
+        cfg = settings.from_plain(_settings(name, place)).ok
+        ports = node.Ports(
+            virtual_loop.VirtualClock(),
+            fakes.FakePlatform(self.links, name, self.store),
+            fakes.FakePeerNetwork(self.links, name, self._networks),
+            fakes.FakeEngineFactory(self.links, name, self.engines),
+            fakes.FakeService(self.links, name, self.services),
+        )
+        made = node.Node(cfg, record, ports, self._rng())
+        context = process(name)
+        self.instances[name] = Instance(made, context)
+        now = asyncio.get_running_loop().time()
+        self.history.lives.append(history.Life(name, now))
+        await self.spawn(name, made.start())
+        return self.instances[name]
+
+    def spawn(self, name: str, coro: Any) -> asyncio.Task:
+        """Runs a coroutine as part of an instance's process."""
+        loop = asyncio.get_running_loop()
+        context = self.instances[name].context
+        return loop.create_task(coro, context=context)
+
+    def node(self, name: str) -> node.Node:
+        """Returns a running node."""
+        return self.instances[name].node
+
+    def serve(self, name: str, raw: base.RawRequest, sink: Any) -> None:
+        """Lets an instance serve a request; `sink.ended` takes the outcome."""
+        if name not in self.instances:
+            sink.broke()
+            return
+        instance = self.instances[name]
+        chain = instance.node.generate
+        if raw.service:
+            chain = instance.node.call_service
+        job = self.spawn(name, chain(raw, sink))
+        instance.serving[job] = sink
+        job.add_done_callback(lambda job: self._served(instance, job))
+
+    def _served(self, instance: Instance, job: asyncio.Task) -> None:
+        sink = instance.serving.pop(job)
+        if job.cancelled():
+            sink.broke()
+        else:
+            sink.ended(job.result())
+
+    # Faults
+
+    async def kill(self, name: str) -> None:
+        """Ends an instance at once; it sends nothing more."""
+        instance = self.instances.pop(name)
+        self.links.dead.add(name)
+        for job in list(instance.serving):
+            job.cancel()
+        await instance.node.close()
+        self._life(name, end_s=asyncio.get_running_loop().time())
+
+    def freeze(self, name: str) -> None:
+        """Stops an instance's process and its links."""
+        self.links.freeze(name)
+        asyncio.get_running_loop().freeze(name)
+
+    def thaw(self, name: str) -> None:
+        """Lets a stopped instance go on."""
+        self.links.thaw(name)
+        asyncio.get_running_loop().thaw(name)
+
+    def part(self, *names: str) -> None:
+        """Cuts the links between some instances and the others."""
+        for name in names:
+            for other in set(self.names) - set(names):
+                self.links.cut(name, other)
+
+    def kill_engine(self, name: str) -> None:
+        """Ends an engine with all that it holds."""
+        core = self.engines[name]
+        core.set_faults(down=True)
+        for stream in list(core._streams.values()):
+            core._free(stream)
+
+    def leave(self, name: str) -> None:
+        """Tells an instance to stop."""
+        self.node(name).drain.begin("test")
+        self._life(name, leave_s=asyncio.get_running_loop().time())
+
+    def _life(self, name: str, **changed: float) -> None:
+        lives = self.history.lives
+        at = max(n for n, life in enumerate(lives) if life.instance == name)
+        lives[at] = attrs.evolve(lives[at], **changed)
+
+    # What was seen
+
+    async def quiet(self, after_s: float = history.HELD_LIMIT_S) -> None:
+        """Waits after the last caller went, and notes what is still held."""
+        await asyncio.sleep(after_s + 0.1)
+        for name, core in self.engines.items():
+            for held in core.held():
+                idle_s = after_s + 0.1
+                row = history.Held(name, held.request_id, idle_s)
+                self.history.held.append(row)
+
+    def violations(self) -> list[history.Violation]:
+        """Returns what the checker finds."""
+        self.history.sightings = [
+            history.Sighting(name, seen.request_id, seen.at_s)
+            for name, core in self.engines.items()
+            for seen in core.seen
+            if seen.kind in _KINDS
+        ] + [
+            history.Sighting(name, run.key, run.at_s)
+            for name, core in self.services.items()
+            for run in core.executions
+            if run.key
+        ]
+        return history.check(self.history)
+
+    async def close(self) -> None:
+        """Ends every node."""
+        for name in list(self.instances):
+            await self.kill(name)
+
+    def _rng(self) -> random.Random:
+        return random.Random(self.rng.getrandbits(32))
+
+
+def _defaults() -> config.Defaults:
+    return attrs.evolve(
+        config_check.initial().defaults,
+        models={MODEL: config.ModelRule(1000, 60000)},
+        services={
+            SERVICE: {
+                "reserve": config.OperationRule(False, 5.0),
+                "lookup": config.OperationRule(True, 2.0),
+            }
+        },
+    )
+
+
+def _settings(name: str, place: str) -> dict[str, Any]:
+    return {
+        "instance": {"name": name, "data_centre": place},
+        "platform": {"url": "http://platform"},
+        "peers": {"key": SECRET},
+        "workspaces": {"keys": {"k1": SECRET}},
+        "distances": {"default_one_way_ms": 4.5},
+    }
+
+
+def body(request_id: str, **fields: Any) -> bytes:
+    """Returns the body of a model request."""
+    plain = {
+        "id": request_id,
+        "workspace": WORKSPACE,
+        "model": MODEL,
+        "prompt": f"Dedication {request_id}. " * 40,
+        "rank": "urgent",
+        "max_tokens": 40,
+        **fields,
+    }
+    return json.dumps(plain).encode()
