--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -6,6 +6,7 @@
 import attrs
 import expression
 
+from seam_model import admin
 from seam_model import config
 from seam_model import endpoints
 from seam_model import errors
@@ -14,8 +15,11 @@
 from seam_model import requests
 from seam_model import settings as node_settings
 from seam_node import entry
+from seam_node import gauges
 from seam_node import logs
 from seam_node import metrics
+from seam_node import status
+from seam_node.adapters import platform_meter
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -26,6 +30,7 @@
 from seam_node.controllers import membership
 from seam_node.controllers import membership_view
 from seam_node.controllers import mirror
+from seam_node.controllers import observe
 from seam_node.controllers import owner
 from seam_node.controllers import ownership
 from seam_node.controllers import planner
@@ -83,6 +88,7 @@
         ports: Ports,
         rng: random.Random,
         policy: placement.Placement | None = None,
+        meter: metrics.Metrics | None = None,
     ):
         """Wires controllers and filters; call inside a running loop.
 
@@ -92,13 +98,17 @@
             ports: What it talks to.
             rng: Source of nonces and jitter.
             policy: Placement to use in place of the product's own.
+            meter: Metrics that parts outside the node count in as well.
         """
         self.settings = settings
         self.record = record
-        self.ports = ports
         self.rng = rng
         self.log = logs.Log(record.name)
-        self.metrics = metrics.Metrics()
+        self.metrics = meter or metrics.Metrics()
+        counted = platform_meter.MeteredPlatform(
+            ports.platform, self.metrics.platform_call
+        )
+        self.ports = attrs.evolve(ports, platform=counted)
         self.runs = runs.RunTable()
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
@@ -107,6 +117,7 @@
         self._make_orders()
         self._make_roles()
         self._make_drain()
+        self._make_observer()
         self._limiter = limits.WorkspaceLimiter(
             limits.WorkspaceLimits(1000.0, 1000.0, 1000)
         )
@@ -176,17 +187,20 @@
         """Runs a service call; the reply is `ctx.reply`."""
         return await self._run(self.service_chain, raw, sink)
 
-    async def cancel(self, request_id: str) -> bool:
-        """Cancels a run here or where its mirrors say it is."""
-        if await self.runs.stop(request_id, runs.Stop.CANCELLED) is not None:
+    async def cancel(self, request_id: str, workspace: str) -> bool:
+        """Cancels a workspace's run here or where its mirrors say it is."""
+        tag = ids.workspace_tag(workspace)
+        if await self._cancel_here(request_id, tag):
             return True
         packed = ids.pack(request_id)
         names = {site.name for site in self.members.view().live}
         names.discard(self.record.name)
-        holders = await self.registry.holders(packed)
+        holders = await self.registry.holders(packed, tag)
         for name in holders & names:
             answer = await self.ports.peers.request(
-                name, peers.CancelRun(packed), registry.HAND_OVER_TIMEOUT_S
+                name,
+                peers.CancelRun(packed, tag),
+                registry.HAND_OVER_TIMEOUT_S,
             )
             if answer.is_ok() and answer.ok.known:
                 return True
@@ -203,11 +217,43 @@
             defaults,
         )
 
+    # Operators
+
+    def status(self) -> admin.InstanceStatus:
+        """Returns what this instance says of itself."""
+        reason = self.not_ready()
+        return admin.InstanceStatus(
+            name=self.record.name,
+            data_centre=self.record.data_centre,
+            incarnation=self.record.incarnation,
+            url=self.record.url,
+            admin_url=self.record.admin_url,
+            state=status.phase_name(self.drain.phase),
+            config_version=self.config.version(),
+            in_progress=self.drain.in_progress,
+            not_ready=reason.describe() if reason else "",
+            live_peers=len(self._live_peers()),
+            unstored_claims=self.claims.unstored(),
+            ledgers=status.ledgers(self.owner),
+            outcomes=self.metrics.outcomes(),
+        )
+
+    async def fleet_status(self) -> admin.FleetStatus:
+        """Returns the status of every instance and endpoint."""
+        listed = status.endpoint_list(self.directory, self.ownership)
+        instances = await self.observer.instances()
+        return admin.FleetStatus(self.record.name, instances, listed)
+
     async def _run(
         self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
     ) -> base.Context:
         ctx = base.make_context(raw, sink, self.ports.clock.monotonic)
-        result = await chain.run(ctx)
+        try:
+            result = await chain.run(ctx)
+        except Exception as exc:
+            self.log.bug("request_failed", exc, request=ctx.trace.request_id)
+            ctx.reached_endpoint = True
+            result = base.fail(errors.Internal(type(exc).__name__))
         if result.is_error():
             ctx.refusal = self._refusal(ctx, result.error)
         return ctx
@@ -341,6 +387,16 @@
             (self.claims.flush, self._resign_lease),
         )
 
+    def _make_observer(self) -> None:
+        self.observer = observe.Observer(
+            self.record.name,
+            self.ports.peers,
+            self.members.view,
+            self.status,
+            self.runs,
+        )
+        self.metrics.registry.register(gauges.StatusCollector(self.status))
+
     def _generate_filters(self) -> list[base.Filter]:
         """Returns the filters of model requests, outermost first."""
         data_centre = self.record.data_centre
@@ -483,10 +539,16 @@
         self, sender: str, message: peers.CancelRun
     ) -> peers.CancelAnswer:
         del sender
-        run = await self.runs.stop(
-            ids.unpack(message.request_id), runs.Stop.CANCELLED
-        )
-        return peers.CancelAnswer(run is not None)
+        request_id = ids.unpack(message.request_id)
+        known = await self._cancel_here(request_id, message.tag)
+        return peers.CancelAnswer(known)
+
+    async def _cancel_here(self, request_id: str, tag: bytes) -> bool:
+        run = self.runs.get(request_id)
+        if run is None or ids.workspace_tag(run.trace.workspace) != tag:
+            return False
+        await runs.stop_run(run, runs.Stop.CANCELLED)
+        return True
 
     async def _cancel_at_engine(
         self, name: str, request_id: bytes, generation: int
@@ -499,6 +561,7 @@
         return done.is_ok()
 
     def _reaped(self, held: endpoints.HeldStream) -> None:
+        self.metrics.stream_reaped()
         self.log.event(
             "stream_reaped", request=held.request_id, owner=held.owner
         )
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -12,13 +12,17 @@
 from seam_model import codec
 from seam_model import errors
 from seam_model import ids
+from seam_model import keys
 from seam_model import requests
 from seam_node import node as node_module
 from seam_node.filters import base
+from seam_node.filters import identify
+from seam_node.filters import parse
 from seam_node.web import refusals
 
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
+SERVER_ERROR = 500
 MAX_UNSENT_BYTES = 64 * 1024
 DRAIN_LIMIT_S = 5.0
 """How long a caller may leave that much unread."""
@@ -89,10 +93,17 @@
         self.sink.closed()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answers what tornado itself refuses, as JSON."""
-        del kwargs
-        error = errors.BadInput("request", str(status_code), "see the docs")
-        self._refuse(requests.Refusal(error, errors.Ran.NO), status_code)
+        """Answers what tornado itself refuses or a handler raised."""
+        raised = kwargs.get("exc_info", (None, None, None))[1]
+        if status_code < SERVER_ERROR:
+            error = errors.BadInput(
+                "request", self.request.method or "", "see docs/CALLERS.md"
+            )
+            refusal = requests.Refusal(error, errors.Ran.NO)
+        else:
+            internal = errors.Internal(type(raised).__name__)
+            refusal = requests.Refusal(internal, errors.Ran.UNKNOWN)
+        self._refuse(refusal, status_code)
 
     def _raw(self, service: str = "", operation: str = "") -> base.RawRequest:
         headers = {
@@ -164,13 +175,30 @@
             )
             self._refuse(requests.Refusal(error, errors.Ran.NO))
             return
-        if await self._node.cancel(request_id):
+        workspace = self._workspace()
+        if workspace is None:
+            unknown = errors.WorkspaceUnknown(self._named_workspace())
+            self._refuse(requests.Refusal(unknown, errors.Ran.NO))
+            return
+        if await self._node.cancel(request_id, workspace):
             self.set_status(204)
             self.finish()
             return
         refusal = requests.Refusal(errors.RunUnknown(), errors.Ran.NO)
         self._refuse(refusal)
 
+    def _named_workspace(self) -> str:
+        return self.request.headers.get(parse.WORKSPACE_HEADER, "")
+
+    def _workspace(self) -> str | None:
+        """Returns the workspace that the token proves, or None."""
+        workspace = self._named_workspace()
+        header = self.request.headers.get(identify.TOKEN_HEADER, "")
+        secrets = self._node.settings.workspaces.keys
+        token = identify.bearer_token(header)
+        proved = keys.verify_workspace_token(secrets, token, workspace)
+        return workspace if proved else None
+
 
 class HealthHandler(_Handler):
     """`GET /healthz` and `GET /readyz`."""
