Look up every setting with all that an exception's scope may name

Cause: exceptions were accepted whose scope was never used for the lookup: a workspace limit for a data centre, an entry answer for a workspace, queue limits for a workspace; deadlines.token_gap_s and the resume window of mirrors and reaper were read by nobody. So an accepted exception did not run.

Now the instance's limits, budgets and entry answers are resolved with its data centre and the workspace; each setting says what a scope may name, and the check refuses the rest. token_gap_s is gone (it is a constant of the engine adapter), and so are exceptions for resume_window_s and weights.bytes_per_s, which hold for the whole fleet.

--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -4,6 +4,7 @@
 and its place in the audit trail are written together or not at all.
 """
 
+from collections.abc import Mapping
 import functools
 from typing import Any
 
@@ -21,36 +22,44 @@
 OBJECT_MAX_BYTES = 512 * 1024
 REFUSE_AFTER_LIMIT_S = 3.0
 """Longest time for which a leaving instance may still take new work."""
+RESUME_WINDOW_LIMIT_S = 60.0
+"""Longest time for which an engine keeps what its caller left."""
 RANK_NAMES: tuple[str, ...] = ("urgent", "other")
 """Names in exceptions' scopes, in the order of `requests.Rank`."""
 
-OVERRIDABLE = frozenset(
-    {
-        "admission.queue_limit",
-        "admission.urgent_reserve",
-        "admission.other_floor",
-        "deadlines.max_s",
-        "deadlines.other_s",
-        "deadlines.token_gap_s",
-        "deadlines.urgent_s",
-        "entry.cache_s",
-        "entry.width",
-        "hedge.budget_ratio",
-        "hedge.enabled",
-        "resume_window_s",
-        "retry.budget_ratio",
-        "retry.max_attempts",
-        "targets.other.first_token_s",
-        "targets.other.per_token_s",
-        "targets.urgent.first_token_s",
-        "targets.urgent.per_token_s",
-        "weights.bytes_per_s",
-        "workspace.burst",
-        "workspace.concurrency",
-        "workspace.rate_per_s",
-    }
-)
-"""Dotted keys of defaults that an exception may set."""
+_REQUEST = ("workspace", "model", "data_centre", "rank")
+_CALL = ("workspace", "data_centre", "rank")
+_WORKSPACE = ("workspace", "data_centre")
+_ENGINE = ("engine", "data_centre")
+_INSTANCE = ("data_centre",)
+
+OVERRIDABLE: Mapping[str, tuple[str, ...]] = {
+    "admission.queue_limit": _ENGINE,
+    "admission.urgent_reserve": _ENGINE,
+    "admission.other_floor": _ENGINE,
+    "deadlines.max_s": _REQUEST,
+    "deadlines.other_s": _REQUEST,
+    "deadlines.urgent_s": _REQUEST,
+    "entry.cache_s": _WORKSPACE,
+    "entry.width": _WORKSPACE,
+    "hedge.budget_ratio": _INSTANCE,
+    "hedge.enabled": _CALL,
+    "retry.budget_ratio": _INSTANCE,
+    "retry.max_attempts": _REQUEST,
+    "targets.other.first_token_s": _REQUEST,
+    "targets.other.per_token_s": _REQUEST,
+    "targets.urgent.first_token_s": _REQUEST,
+    "targets.urgent.per_token_s": _REQUEST,
+    "workspace.burst": _WORKSPACE,
+    "workspace.concurrency": _WORKSPACE,
+    "workspace.rate_per_s": _WORKSPACE,
+}
+"""Dotted keys that an exception may set, and what its scope may name.
+
+A setting is looked up with these fields of the scope only, so that an
+exception which names another one would never be in force. The data centre is
+the engine's for `admission`, else that of the instance.
+"""
 
 
 def _ratio() -> Any:
@@ -99,8 +108,6 @@
     other_s: float = _seconds()
     max_s: float = _seconds()
     """Longest deadline that a caller may ask for."""
-    token_gap_s: float = _seconds()
-    """Silence after which a stream's connection is given up."""
 
     def of(self, rank: requests.Rank) -> float:
         """Returns the deadline of a rank, in seconds."""
@@ -201,7 +208,9 @@
 class Defaults:
     """Settings of the whole fleet, or those in force for a scope."""
 
-    resume_window_s: float = _seconds()
+    resume_window_s: float = toml_check.limits(
+        above=0, high=RESUME_WINDOW_LIMIT_S
+    )
     admission: Admission
     targets: RankTargets
     deadlines: Deadlines
--- a/packages/seam_model/seam_model/config_check.py
+++ b/packages/seam_model/seam_model/config_check.py
@@ -40,7 +40,10 @@
 
 def draft_to_toml(draft: config.Draft) -> str:
     """Returns a draft as TOML."""
-    return tomli_w.dumps(codec.to_plain(draft))
+    plain = codec.to_plain(draft)
+    if not draft.exceptions:
+        del plain["exceptions"]
+    return tomli_w.dumps(plain)
 
 
 def draft_from_plain(plain: Any) -> DraftResult:
@@ -219,11 +222,25 @@
             if owner != rule.id:
                 text = f"also set by {owner} for the same scope"
                 checker.add(f"{path}.settings.{key}", text, "one exception")
+        _check_scope(rule, path, checker)
         settings = _check_settings(draft.defaults, rule.settings, path, checker)
         rules.append(attrs.evolve(rule, settings=settings))
     return attrs.evolve(draft, exceptions=tuple(rules))
 
 
+def _check_scope(
+    rule: config.ConfigException, path: str, checker: toml_check.Checker
+) -> None:
+    """Looks for settings that are never looked up with the rule's scope."""
+    named = [name for name in config.SCOPE_FIELDS if getattr(rule.scope, name)]
+    for key in sorted(rule.settings):
+        known = config.OVERRIDABLE.get(key, named)
+        if not set(named) <= set(known):
+            text = "for a scope of " + ", ".join(named)
+            allowed = "a scope of " + ", ".join(known) + " only"
+            checker.add(f"{path}.settings.{key}", text, allowed)
+
+
 def _check_settings(
     defaults: config.Defaults,
     settings: dict[str, Any],
--- a/packages/seam_node/seam_node/controllers/mirror.py
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -76,12 +76,14 @@
         cancel: Cancel,
         own_runs: Callable[[], Iterable[tuple[bytes, Entry]]] = lambda: (),
         warm_bound_s: float = RUN_LIFE_S,
+        resume_window_s: Callable[[], float] = lambda: RESUME_WINDOW_S,
     ):
         """Registers the handlers of the mirrors' messages.
 
         `own_runs` lists the runs that this instance itself owns, so that it
         can help a restarted mirror too.
         """
+        self._resume_window_s = resume_window_s
         super().__init__("mirror")
         self._members = members
         self._network = network
@@ -292,7 +294,7 @@
         order = [name for name in names if name in live]
         own = view.own.name
         place = order.index(own) if own in order else len(order)
-        wait_s = RESUME_WINDOW_S + place * CANCEL_FALLBACK_S
+        wait_s = self._resume_window_s() + place * CANCEL_FALLBACK_S
         if now - entry.orphan_at >= wait_s:
             entry.orphan_at = now
             self.spawn(self._abandon(request_id, entry, names))
--- a/packages/seam_node/seam_node/controllers/reaper.py
+++ b/packages/seam_node/seam_node/controllers/reaper.py
@@ -35,8 +35,10 @@
         members: membership.MembershipController,
         network: peer_port.PeerNetwork,
         reaped: Reaped = lambda stream: None,
+        resume_window_s: Callable[[], float] = lambda: mirror.RESUME_WINDOW_S,
     ):
         """`reaped` is told of each stream that was cancelled."""
+        self._resume_window_s = resume_window_s
         self._members = members
         self._network = network
         self._reaped = reaped
@@ -58,7 +60,7 @@
         return done
 
     async def _is_lost(self, stream: endpoints.HeldStream) -> bool:
-        if stream.idle_s <= mirror.RESUME_WINDOW_S + MARGIN_S:
+        if stream.idle_s <= self._resume_window_s() + MARGIN_S:
             return False
         name, _, incarnation = stream.owner.rpartition("/")
         if not incarnation.isdigit():
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -208,12 +208,11 @@
     def entry_answer(self, workspace: str) -> requests.EntryAnswer:
         """Returns which instances a caller should use."""
         cfg = self.config.current()
-        defaults = cfg.defaults.entry if cfg else None
+        rule = (
+            config.resolve(cfg, self._scope(workspace)).entry if cfg else None
+        )
         return entry.answer(
-            self.members.view(),
-            self.settings.distances,
-            workspace,
-            defaults,
+            self.members.view(), self.settings.distances, workspace, rule
         )
 
     # Operators
@@ -301,6 +300,7 @@
             ports.clock,
             self._cancel_at_engine,
             self.registry.own_runs,
+            resume_window_s=self._resume_window_s,
         )
         self.proof = liveness.MirrorProof(self.members, self.registry)
         ports.peers.handle(peers.CancelRun, self._on_cancel_run)
@@ -333,7 +333,12 @@
             self.ownership,
             self.owner,
             self.planner,
-            reaper.Reaper(self.members, self.ports.peers, self._reaped),
+            reaper.Reaper(
+                self.members,
+                self.ports.peers,
+                self._reaped,
+                self._resume_window_s,
+            ),
         )
 
     def _make_orders(self) -> None:
@@ -484,13 +489,29 @@
 
     def _on_config(self, cfg: config.FleetConfig) -> None:
         self.log.event("config_in_force", version=cfg.version)
+        names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
+        own = config.resolve(cfg, self._scope(""))
         self._limiter.configure(
-            _limits(cfg.defaults.workspace), _workspace_limits(cfg)
+            _limits(own.workspace),
+            {
+                name: _limits(config.resolve(cfg, self._scope(name)).workspace)
+                for name in names
+            },
         )
-        self._budget.configure(cfg.defaults.retry.budget_ratio)
+        self._budget.configure(own.retry.budget_ratio)
         self.drain.configure(cfg.defaults.drain.refuse_after_s)
         self.owner.tell(owner.Reconfigure())
 
+    def _scope(self, workspace: str) -> config.Scope:
+        """Returns the scope of what a workspace does at this instance."""
+        return config.Scope(
+            workspace=workspace, data_centre=self.record.data_centre
+        )
+
+    def _resume_window_s(self) -> float:
+        defaults = self._defaults()
+        return defaults.resume_window_s if defaults else mirror.RESUME_WINDOW_S
+
     def _on_phase(self, phase: drain.Phase) -> None:
         self.log.event("drain_phase", phase=phase.name.lower())
         if phase is drain.Phase.ANNOUNCED:
@@ -569,14 +590,3 @@
     return limits.WorkspaceLimits(
         rule.rate_per_s, float(rule.burst), rule.concurrency
     )
-
-
-def _workspace_limits(
-    cfg: config.FleetConfig,
-) -> dict[str, limits.WorkspaceLimits]:
-    names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
-    scopes = {name: config.Scope(workspace=name) for name in names}
-    return {
-        name: _limits(config.resolve(cfg, scope).workspace)
-        for name, scope in scopes.items()
-    }
--- a/tests/seam_model/test_config.py
+++ b/tests/seam_model/test_config.py
@@ -20,18 +20,36 @@
 REASONS = strategies.text(
     strategies.characters(codec="utf-8"), min_size=3, max_size=40
 ).filter(str.strip)
-SETTINGS = strategies.fixed_dictionaries(
-    {"workspace.concurrency": strategies.integers(1, 10**6)},
-    optional={"entry.cache_s": strategies.floats(0.001, 86400)},
-)
+VALUES = {
+    "admission.queue_limit": strategies.integers(1, 10**6),
+    "deadlines.other_s": strategies.floats(0.001, 3600),
+    "entry.cache_s": strategies.floats(0.001, 86400),
+    "retry.max_attempts": strategies.integers(1, 10),
+    "workspace.concurrency": strategies.integers(1, 10**6),
+}
+
+
+def settings_of(scope):
+    """Returns settings that are looked up with all that a scope names."""
+    named = {name for name in config.SCOPE_FIELDS if getattr(scope, name)}
+    fitting = {
+        key: value
+        for key, value in VALUES.items()
+        if named and named <= set(config.OVERRIDABLE[key])
+    }
+    return strategies.fixed_dictionaries({}, optional=fitting)
+
+
 EXCEPTIONS = strategies.lists(
-    strategies.builds(
-        config.ConfigException,
-        id=NAMES,
-        scope=SCOPES.filter(lambda scope: scope != config.Scope()),
-        settings=SETTINGS,
-        reason=REASONS,
-    ),
+    SCOPES.flatmap(
+        lambda scope: strategies.builds(
+            config.ConfigException,
+            id=NAMES,
+            scope=strategies.just(scope),
+            settings=settings_of(scope),
+            reason=REASONS,
+        )
+    ).filter(lambda rule: rule.settings),
     max_size=4,
     unique_by=(lambda rule: rule.id, lambda rule: rule.scope),
 ).map(tuple)
@@ -212,3 +230,29 @@
         'exceptions.a: (none) -> [{"workspace": "w"}, '
         '{"workspace.concurrency": 3}, "because of a test"]',
     )
+
+
+def test_exception_is_refused_where_its_setting_would_not_be_looked_up():
+    def refused(scope, settings):
+        plain = {"id": "a", "scope": scope, "settings": settings}
+        return problems({"exceptions": [{**plain, "reason": "a test"}]})
+
+    for scope, key, value in (
+        ({"workspace": "w"}, "admission.queue_limit", 5),
+        ({"engine": "e"}, "workspace.concurrency", 5),
+        ({"workspace": "w", "rank": "other"}, "workspace.burst", 5),
+        ({"engine": "e"}, "targets.other.first_token_s", 5.0),
+        ({"model": "m"}, "retry.budget_ratio", 0.5),
+        ({"workspace": "w"}, "resume_window_s", 5.0),
+        ({"data_centre": "d"}, "weights.bytes_per_s", 5.0),
+    ):
+        wanted = {f"exceptions.a.settings.{key}"}
+        assert refused(scope, {key: value}) == wanted
+    for scope, key, value in (
+        ({"engine": "e", "data_centre": "d"}, "admission.queue_limit", 5),
+        ({"workspace": "w"}, "workspace.burst", 5),
+        ({"model": "m", "rank": "other"}, "deadlines.other_s", 5.0),
+    ):
+        plain = {"id": "a", "scope": scope, "settings": {key: value}}
+        draft = {"exceptions": [{**plain, "reason": "a test"}]}
+        assert config_check.draft_from_plain(draft).is_ok()
--- a/tests/seam_node/controllers/test_reaper.py
+++ b/tests/seam_node/controllers/test_reaper.py
@@ -31,10 +31,12 @@
         return expression.Ok(None)
 
 
-async def look(nodes, engine, stream):
+async def look(nodes, engine, stream, window_s=5.0):
     freed = []
     node = nodes["b"]
-    judge = reaper.Reaper(node.members, node.network, freed.append)
+    judge = reaper.Reaper(
+        node.members, node.network, freed.append, lambda: window_s
+    )
     report = endpoints.LoadReport("engine", 0.0, 1, 20, 0, 0, (stream,))
     await judge.look(engine, report)
     assert len(freed) == len(engine.cancelled)
@@ -76,3 +78,13 @@
         assert await look(nodes, Engine(), stream) == [(DENIED, 1)]
 
     peer_world.run(main())
+
+
+def test_a_longer_resume_window_is_waited_for():
+    async def main():
+        _, nodes = await test_registry.fleet(23)
+        stream = endpoints.HeldStream(DENIED, 1, "nobody/1", 30.0)
+        assert await look(nodes, Engine(), stream, window_s=30.0) == []
+        assert await look(nodes, Engine(), stream) == [(DENIED, 1)]
+
+    peer_world.run(main())
