Show leases and silence in status; read audit pages by number

A page of the audit trail now costs at most its own length in platform calls; listing all audit/ keys would have grown with every change ever made.

--- a/packages/seam_ctl/seam_ctl/fleet_cmds.py
+++ b/packages/seam_ctl/seam_ctl/fleet_cmds.py
@@ -126,7 +126,15 @@
 
 def _show_status(found: admin.FleetStatus) -> None:
     output.table(
-        ("instance", "data centre", "state", "config", "running", "peers"),
+        (
+            "instance",
+            "data centre",
+            "state",
+            "config",
+            "running",
+            "peers",
+            "leases",
+        ),
         (
             (
                 each.name,
@@ -135,6 +143,7 @@
                 each.config_version or "",
                 each.in_progress,
                 each.live_peers,
+                ", ".join(f"{k} #{v}" for k, v in each.leases.items()),
             )
             for each in found.instances
         ),
--- a/packages/seam_model/seam_model/admin.py
+++ b/packages/seam_model/seam_model/admin.py
@@ -153,6 +153,10 @@
     live_peers: int = 0
     unstored_claims: int = 0
     """Outcomes of orders that are not stored in the platform yet."""
+    config_silent_s: float = 0.0
+    """Seconds since the platform or a peer was heard."""
+    leases: dict[str, int] = attrs.field(factory=dict)
+    """Fencing numbers of the leases that are held here, by name."""
     ledgers: tuple[LedgerStatus, ...] = ()
     outcomes: dict[str, int] = attrs.field(factory=dict)
     """Requests that ended since the start, by outcome."""
--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -314,6 +314,11 @@
         return Draft(self.defaults, self.exceptions)
 
 
+def audit_key(version: int) -> str:
+    """Returns the key of a change that was moved out of the object."""
+    return f"{AUDIT_PREFIX}{version:06d}"
+
+
 # Resolving
 
 
--- a/packages/seam_node/seam_node/controllers/audit.py
+++ b/packages/seam_node/seam_node/controllers/audit.py
@@ -21,51 +21,37 @@
 ) -> PageResult:
     """Returns up to `limit` changes, newest first.
 
+    Every version was made by one change, so that older changes are read by
+    their numbers: a page costs at most `limit` calls, however long the trail.
+
     Args:
         platform: Holds the changes that were moved out of the object.
         cfg: The configuration in force.
         before: Only changes of lower versions are returned; 0 for all.
         limit: Most changes in the page.
     """
-    kept = [
-        c for c in reversed(cfg.changes) if not before or c.version < before
-    ]
-    if len(kept) > limit:
-        return expression.Ok(_page(kept[:limit]))
+    below = before or cfg.version + 1
+    kept = [c for c in reversed(cfg.changes) if c.version < below][:limit]
     oldest = min((c.version for c in cfg.changes), default=cfg.version + 1)
-    moved = await _moved(platform, min(before or oldest, oldest))
-    if moved.is_error():
-        return moved
-    keys = moved.ok
-    missing = limit - len(kept)
-    wanted, rest = keys[:missing], keys[missing:]
-    read = await asyncio.gather(*(platform.get(key) for key in wanted))
+    last = max(1, min(below, oldest) - (limit - len(kept)))
+    moved = range(min(below, oldest) - 1, last - 1, -1)
+    read = await asyncio.gather(*(_read(platform, number) for number in moved))
     for answer in read:
         if answer.is_error():
             return answer
-        change = codec.from_json(answer.ok.data, config.Change)
-        if change.is_error():
-            return change
-        kept.append(change.ok)
-    if rest:
-        return expression.Ok(_page(kept))
-    return expression.Ok(admin.ChangeList(tuple(kept)))
-
-
-def _page(changes: list[config.Change]) -> admin.ChangeList:
-    return admin.ChangeList(tuple(changes), changes[-1].version)
-
-
-async def _moved(
-    platform: platform_port.Platform, below: int
-) -> expression.Result[list[str], errors.PlatformError]:
-    """Returns the keys of moved changes below a version, newest first."""
-    listed = await platform.list_keys(config.AUDIT_PREFIX)
-    if listed.is_error():
-        return listed
-    found: list[tuple[int, str]] = []
-    for key in listed.ok:
-        number = key.removeprefix(config.AUDIT_PREFIX)
-        if number.isdecimal() and int(number) < below:
-            found.append((int(number), key))
-    return expression.Ok([key for _, key in sorted(found, reverse=True)])
+    found = [*kept, *(answer.ok for answer in read if answer.ok is not None)]
+    lowest = last if moved else min((c.version for c in kept), default=1)
+    more = lowest if lowest > 1 else 0
+    return expression.Ok(admin.ChangeList(tuple(found), more))
+
+
+async def _read(
+    platform: platform_port.Platform, version: int
+) -> expression.Result[config.Change | None, errors.SeamError]:
+    """Returns a moved change; None for a version that no change made."""
+    stored = await platform.get(config.audit_key(version))
+    if stored.is_ok():
+        return codec.from_json(stored.ok.data, config.Change)
+    if isinstance(stored.error, errors.ObjectMissing):
+        return expression.Ok(None)
+    return stored
--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -346,7 +346,7 @@
         self, change: config.Change
     ) -> expression.Result[None, errors.PlatformError]:
         """Writes an accepted change to its own object, once for ever."""
-        key = f"{config.AUDIT_PREFIX}{change.version:06d}"
+        key = config.audit_key(change.version)
         data = config_check.encode(change)
         result = await self._platform.put(key, data, platform_port.ABSENT)
         if result.is_error() and not isinstance(
--- a/packages/seam_node/seam_node/gauges.py
+++ b/packages/seam_node/seam_node/gauges.py
@@ -32,6 +32,12 @@
             ("config_version", "Version in force.", now.config_version),
             ("ready", "1 when new work is taken.", int(not now.not_ready)),
             ("live_peers", "Other instances that answer.", now.live_peers),
+            (
+                "config_silent_seconds",
+                "Time since the platform or a peer was heard.",
+                now.config_silent_s,
+            ),
+            ("leases_held", "Leases held here.", len(now.leases)),
             ("owned_engines", "Engines with a ledger here.", len(books)),
             (
                 "slots_granted",
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -220,6 +220,9 @@
     def status(self) -> admin.InstanceStatus:
         """Returns what this instance says of itself."""
         reason = self.not_ready()
+        now = self.ports.clock.monotonic()
+        fresh = self.config.freshness(now)
+        held = self.roles_lease.valid_for(now) > 0
         return admin.InstanceStatus(
             name=self.record.name,
             data_centre=self.record.data_centre,
@@ -232,6 +235,10 @@
             not_ready=reason.describe() if reason else "",
             live_peers=len(self._live_peers()),
             unstored_claims=self.claims.unstored(),
+            config_silent_s=(
+                fresh.ok if fresh.is_ok() else fresh.error.silent_s
+            ),
+            leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
             ledgers=status.ledgers(self.owner),
             outcomes=self.metrics.outcomes(),
         )
--- a/tests/seam_node/controllers/test_audit.py
+++ b/tests/seam_node/controllers/test_audit.py
@@ -56,6 +56,8 @@
     everything = list(range(CHANGES, 0, -1))
     for limit in (1, 7, 50):
         assert await read_all(platform, cfg, limit) == everything
+    seeded = attrs.evolve(cfg, changes=())
+    assert await read_all(platform, seeded, 9) == everything[50:]
     store.down = True
     kept = await audit.page(platform, cfg, 0, config.CHANGES_KEPT - 1)
     assert len(kept.ok.changes) == config.CHANGES_KEPT - 1
