--- a/bench/hold.py
+++ b/bench/hold.py
@@ -20,20 +20,26 @@
         "WORKSPACE": WORKSPACE,
         "TOKEN": clu.token(WORKSPACE),
         "MODEL": cluster.MODEL,
+        "SERVICE": cluster.SERVICE,
         "SYCAMORESEAM_URL": await clu.admin_url(first),
         "SYCAMORESEAM_TOKEN": clu.operator_token,
         "SETTINGS": str(clu.folder / f"{first}.toml"),
     }
 
 
-async def hold(clu: cluster.Cluster) -> None:
-    """Prints addresses and tokens and waits for Ctrl-C or SIGTERM."""
+async def write_variables(clu: cluster.Cluster, path: pathlib.Path) -> str:
+    """Writes the variables as lines for a shell and returns them."""
     found = await variables(clu)
     text = "".join(f"export {key}={value}\n" for key, value in found.items())
-    path = pathlib.Path(ENV_FILE)
+    path.touch(mode=0o600)
     path.write_text(text)
-    path.chmod(0o600)
-    print(text)
+    return text
+
+
+async def hold(clu: cluster.Cluster) -> None:
+    """Prints addresses and tokens and waits for Ctrl-C or SIGTERM."""
+    path = pathlib.Path(ENV_FILE)
+    print(await write_variables(clu, path))
     print(f"The lines above are in {ENV_FILE}: . ./{ENV_FILE}")
     print("Ctrl-C ends the demo.", flush=True)
     stop = asyncio.Event()
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,104 @@
+"""The lines of the users' pages run; their tables say what the code does."""
+
+import asyncio
+import os
+import pathlib
+import re
+import sys
+
+from bench import cluster
+from bench import hold
+from seam_ctl import exits
+from seam_model import errors
+from seam_node.web import refusals
+
+DOCS = cluster.ROOT / "docs"
+PAGES = ("CALLERS", "ADMIN", "TUTORIAL")
+BLOCK = re.compile(r"^```sh\n(.*?)^```", re.DOTALL | re.MULTILINE)
+LIMIT_S = 120.0
+TWO = cluster.Layout(
+    engines=(cluster.SMALL.engines[0], cluster.SMALL.engines[2]),
+    services=cluster.SMALL.services[:1],
+    instances=cluster.SMALL.instances[:2],
+)
+
+
+def page(name):
+    return (DOCS / f"{name}.md").read_text()
+
+
+def rows(name, heading):
+    """Returns the cells of the table below a heading."""
+    text = page(name).split(f"## {heading}\n")[1].split("\n## ")[0]
+    lines = [line for line in text.splitlines() if line.startswith("| ")]
+    return [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in lines[1:]
+    ]
+
+
+async def run_page(name, folder):
+    script = "set -euo pipefail\n" + "\n".join(BLOCK.findall(page(name)))
+    env = cluster.environment()
+    env["PATH"] = (
+        f"{pathlib.Path(sys.executable).parent}{os.pathsep}" + (env["PATH"])
+    )
+    proc = await asyncio.create_subprocess_exec(
+        "bash",
+        "-xc",
+        script,
+        cwd=folder,
+        env=env,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await asyncio.wait_for(proc.communicate(), LIMIT_S)
+    assert proc.returncode == 0, f"{name}: {out.decode()[-3000:]}"
+
+
+def test_lines_of_the_pages_run(tmp_path):
+    async def main():
+        clu = cluster.Cluster(TWO)
+        try:
+            await clu.start()
+            await hold.write_variables(clu, tmp_path / hold.ENV_FILE)
+            for name in PAGES:
+                await run_page(name, tmp_path)
+        finally:
+            await clu.close()
+
+    asyncio.run(main())
+
+
+def leaves(cls):
+    below = [leaf for sub in cls.__subclasses__() for leaf in leaves(sub)]
+    return below or [cls]
+
+
+def test_refusal_table_tells_the_status_of_each_code():
+    status = {
+        cls.code: refusals.status_of(cls.__new__(cls))
+        for cls in leaves(errors.SeamError)
+    }
+    listed = {
+        code: int(cells[0])
+        for cells in rows("CALLERS", "Refusals")
+        for code in re.findall(r"`([a-z_]+)`", cells[1])
+    }
+    assert listed == {code: status[code] for code in listed}
+    for_operators = {
+        "config_conflict",
+        "config_invalid",
+        "denied",
+        "input_invalid",
+        "not_found",
+        "token_unknown",
+    }
+    own = {code for code, number in status.items() if number != 503}
+    assert own <= set(listed) | for_operators
+
+
+def test_exit_codes_are_listed():
+    listed = [int(cells[0]) for cells in rows("ADMIN", "Exit codes")[1:]]
+    values = [v for k, v in vars(exits).items() if k.isupper() and k[0] != "_"]
+    assert listed == sorted(values)
