--- a/packages/seam_node/seam_node/metrics.py
+++ b/packages/seam_node/seam_node/metrics.py
@@ -81,6 +81,10 @@
         self._reaped = self._counter(
             "seam_streams_reaped_total", "Streams cancelled for no holder."
         )
+        self._connections = self._counter(
+            "seam_connections_refused_total",
+            "Callers' connections closed for being too many.",
+        )
 
     def _counter(
         self, name: str, text: str, *labels: str
@@ -137,6 +141,10 @@
         """Counts a stream that was cancelled for lack of a holder."""
         self._reaped.inc()
 
+    def connection_refused(self) -> None:
+        """Counts a caller's connection that was one too many."""
+        self._connections.inc()
+
     def outcomes(self) -> dict[str, int]:
         """Returns how many requests ended since the start, by outcome."""
         found: dict[str, int] = {}
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -28,6 +28,30 @@
 """How long a caller may leave that much unread."""
 
 
+class LimitedServer(httpserver.HTTPServer):
+    """Closes connections that are more than it may hold."""
+
+    def initialize(
+        self,
+        *args: Any,
+        max_connections: int,
+        refused: Callable[[], None],
+        **kwargs: Any,
+    ) -> None:
+        """Takes the limit, and who is told of each connection closed."""
+        super().initialize(*args, **kwargs)
+        self._max_connections = max_connections
+        self._refused = refused
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serves a new connection if there is room for it."""
+        if len(self._connections) >= self._max_connections:
+            self._refused()
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+
+
 class HandlerSink(base.Sink):
     """Writes a stream of events to one caller's connection."""
 
@@ -233,8 +257,10 @@
     ]
     app = web.Application(routes, log_function=lambda handler: None)
     limits = node.settings.limits
-    return httpserver.HTTPServer(
+    return LimitedServer(
         app,
+        max_connections=limits.max_connections,
+        refused=node.metrics.connection_refused,
         max_body_size=limits.max_body_bytes,
         max_buffer_size=2 * limits.max_body_bytes,
         idle_connection_timeout=limits.header_timeout_s,
