--- /dev/null
+++ b/bench/measure_caller.py
@@ -0,0 +1,173 @@
+"""Callers of the measured fleet and what they saw."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import random
+
+import attrs
+
+from bench import measure_fleet
+from bench import measure_load
+from seam_model import ids
+from seam_model import requests
+from seam_node import node
+from seam_node.filters import base
+from standins import virtual_loop
+
+RECONNECTS = 5
+EVENT_ID_HEADER = "last-event-id"
+_EVENT_END = b"\n\n"
+_DONE = b"event: done"
+
+
+@attrs.define
+class Outcome:
+    """What one caller saw of its request; times in virtual seconds."""
+
+    request_id: str
+    rank: requests.Rank
+    at_s: float
+    first_s: float | None = None
+    last_s: float | None = None
+    events: int = 0
+    connected: bool = False
+    """Whether an instance may have seen the request."""
+    done: bool = False
+    end_s: float = 0.0
+    refused: str = ""
+    """Code of the last refusal."""
+    steps: tuple[str, ...] = ()
+    """The request's trace at the instance that ended it."""
+
+    def first_token_s(self) -> float:
+        """Returns the time to the first token."""
+        return self.first_s - self.at_s
+
+    def per_token_s(self) -> float:
+        """Returns the mean time between tokens."""
+        # The last event ends the stream and comes with the last token.
+        return (self.last_s - self.first_s) / max(1, self.events - 2)
+
+    def meets(self, targets: requests.Targets) -> bool:
+        """Tells whether the whole answer came within both targets."""
+        if not self.done or self.first_s is None:
+            return False
+        return (
+            self.first_token_s() <= targets.first_token_s
+            and self.per_token_s() <= targets.per_token_s
+        )
+
+
+class _Sink(base.Sink):
+    """Counts the events of one connection as the caller gets them."""
+
+    def __init__(self, outcome: Outcome, way_s: float):
+        self._outcome = outcome
+        self._way_s = way_s
+        self.closed = False
+
+    async def write(self, data: bytes) -> bool:
+        if self.closed:
+            return False
+        outcome = self._outcome
+        at_s = asyncio.get_running_loop().time() + self._way_s
+        if outcome.first_s is None:
+            outcome.first_s = at_s
+        outcome.last_s = at_s
+        outcome.events += data.count(_EVENT_END)
+        outcome.done = outcome.done or _DONE in data
+        return True
+
+    def gone(self) -> bool:
+        return self.closed
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """A caller here closes no connection by itself."""
+
+
+class Callers:
+    """Sends arrivals to instances and reconnects when one dies."""
+
+    def __init__(self, fleet: measure_fleet.Fleet, seed: int):
+        """Takes the started fleet."""
+        self._fleet = fleet
+        self._rng = random.Random(f"{seed}/callers")
+        self._clock = virtual_loop.VirtualClock()
+        self._calls: dict[str, set[asyncio.Future]] = {}
+        self.outcomes: list[Outcome] = []
+
+    def reset(self, instance: str) -> None:
+        """Breaks every connection to an instance."""
+        for call in list(self._calls.get(instance, ())):
+            call.cancel()
+
+    async def send(self, arrival: measure_load.Arrival) -> None:
+        """Sends one request and records its outcome."""
+        rng = random.Random(arrival.seed)
+        outcome = Outcome(
+            ids.make_uuid7(self._clock.wall(), rng),
+            arrival.rank,
+            self._clock.monotonic(),
+        )
+        self.outcomes.append(outcome)
+        for _ in range(RECONNECTS):
+            ctx = await self._connect(arrival, outcome)
+            if ctx is None:
+                continue
+            if ctx.refusal is not None:
+                outcome.refused = ctx.refusal.error.code
+            outcome.steps = tuple(
+                f"{step.at_s:.3f} {step.filter}: {step.what}"
+                for step in ctx.trace.steps
+            )
+            break
+        outcome.end_s = self._clock.monotonic()
+
+    async def _connect(
+        self, arrival: measure_load.Arrival, outcome: Outcome
+    ) -> base.Context | None:
+        """Returns the ended request, or None if the connection broke."""
+        way_s = self._fleet.deployment.client_s
+        name = self._rng.choice(sorted(self._fleet.nodes))
+        await asyncio.sleep(way_s)
+        if name in self._fleet.dead:
+            await asyncio.sleep(way_s)
+            return None
+        raw = self._raw(arrival, outcome)
+        outcome.connected = True
+        call = asyncio.ensure_future(
+            self._call(self._fleet.nodes[name], raw, _Sink(outcome, way_s))
+        )
+        calls = self._calls.setdefault(name, set())
+        calls.add(call)
+        await asyncio.wait({call})
+        calls.discard(call)
+        await asyncio.sleep(way_s)
+        return None if call.cancelled() else call.result()
+
+    async def _call(
+        self, instance: node.Node, raw: base.RawRequest, sink: _Sink
+    ) -> base.Context:
+        try:
+            return await instance.generate(raw, sink)
+        finally:
+            sink.closed = True
+
+    def _raw(
+        self, arrival: measure_load.Arrival, outcome: Outcome
+    ) -> base.RawRequest:
+        body = {
+            "id": outcome.request_id,
+            "workspace": arrival.workspace,
+            "rank": arrival.rank.name.lower(),
+            "model": self._fleet.deployment.model,
+            "prompt": arrival.prompt,
+            "prompt_tokens": arrival.prompt_tokens,
+            "max_tokens": arrival.max_tokens,
+        }
+        token = measure_fleet.token(arrival.workspace)
+        headers = {"authorization": f"Bearer {token}"}
+        if outcome.connected:
+            headers[EVENT_ID_HEADER] = str(outcome.events)
+        return base.RawRequest(json.dumps(body).encode(), headers)
