Take an engine's prefill rate from its fastest work

Cause, by trace: urgent requests were refused on arrival as unable to meet their first token, with engines free. The prefill rate was a mean over times that included the wait behind other instances' prefills, so the lead estimate grew past the target. Ruled out: slot wait (the refusals came before any ask). Now faster samples count much and slower ones little.

--- a/packages/seam_node/seam_node/controllers/planner.py
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -62,7 +62,7 @@
         self._loads: dict[str, _Load] = {}
         self._sent_tokens: dict[str, int] = {}
         self._transfers: dict[str, int] = {}
-        self._rates: dict[str, estimate.Ewma] = {}
+        self._rates: dict[str, estimate.PeakRate] = {}
         self.prefixes = prefix.PrefixIndex()
 
     @property
@@ -139,14 +139,13 @@
         cached_tokens: int,
         took_s: float,
     ) -> None:
-        """Learns an engine's prefixes, and its rate if it was not shared."""
+        """Learns an engine's prefixes and its rate."""
         hashes = prefix.prefix_hashes(req.prompt, req.model)
         self.prefixes.note_prefill(name, hashes)
         computed = req.prompt_tokens - cached_tokens
-        if took_s <= 0 or computed <= 0 or self._sent_tokens.get(name, 0):
-            return
-        rate = self._rates.setdefault(name, estimate.Ewma(PREFILL_TOKENS_PER_S))
-        rate.add(computed / took_s)
+        initial = estimate.PeakRate(PREFILL_TOKENS_PER_S)
+        rate = self._rates.setdefault(name, initial)
+        rate.add(computed, took_s)
 
     def transfer_started(self, name: str) -> None:
         """Counts a transfer out of a prefill engine."""
@@ -217,7 +216,7 @@
                 record.name, hashes, req.prompt_tokens
             ),
             backlog_tokens=max(sent, load.queued_tokens),
-            tokens_s=rate.value if rate else PREFILL_TOKENS_PER_S,
+            tokens_s=rate.rate if rate else PREFILL_TOKENS_PER_S,
             link_bytes_s=self._distances.link_bytes_per_s,
             link_transfers=self._transfers.get(record.name, 0),
             link_s=self._distances.one_way_s(record.data_centre, there),
--- a/packages/seam_policy/seam_policy/estimate.py
+++ b/packages/seam_policy/seam_policy/estimate.py
@@ -5,6 +5,8 @@
 _DEFAULT_GAIN = 0.125
 _DEFAULT_SPREAD_GAIN = 0.25
 _P95_SPREADS = 2.0
+_PEAK_RISE_GAIN = 0.5
+_PEAK_FALL_GAIN = 0.01
 
 
 class Ewma:
@@ -71,6 +73,35 @@
         return max(0.0, units) * self._seconds_per_unit.value
 
 
+class PeakRate:
+    """Estimates the rate of an engine from work that may have waited.
+
+    The time of a piece of work includes its wait behind others, so the fastest
+    pieces tell most: a faster sample counts much, a slower one little.
+    """
+
+    def __init__(self, initial: float):
+        """Starts at `initial` units a second, which the first sample replaces.
+
+        Args:
+            initial: rate until there is a sample; positive.
+        """
+        self.rate = initial
+        self._samples = 0
+
+    def add(self, units: float, seconds: float) -> None:
+        """Takes one finished piece of work."""
+        if units <= 0 or seconds <= 0:
+            return
+        sample = units / seconds
+        self._samples += 1
+        if self._samples == 1:
+            self.rate = sample
+            return
+        gain = _PEAK_RISE_GAIN if sample > self.rate else _PEAK_FALL_GAIN
+        self.rate += gain * (sample - self.rate)
+
+
 class EngineEstimates:
     """What is known of the speed of one engine and of its links."""
 
--- a/tests/seam_policy/test_estimate.py
+++ b/tests/seam_policy/test_estimate.py
@@ -24,6 +24,17 @@
     assert engine.prefill_s(1000, backlog_tokens=3000) == pytest.approx(1.0)
 
 
+def test_peak_rate_is_hardly_lowered_by_work_that_waited():
+    rate = estimate.PeakRate(8000.0)
+    for _ in range(20):
+        rate.add(1000, 0.0625)
+        rate.add(1000, 0.25)
+    assert rate.rate == pytest.approx(16_000, rel=0.02)
+    for _ in range(400):
+        rate.add(1000, 0.125)
+    assert rate.rate == pytest.approx(8000, rel=0.05)
+
+
 def test_arrival_rate_decays_when_arrivals_end():
     arrivals = estimate.ArrivalRate(10.0)
     for tenth in range(1000):
