Decode when the granted slot is free, with the KV that lives

Cause, by trace: a slot may be granted up to its lead time ahead of a stream's end; the owner dropped the expected delay, so decode orders came too early, the engine was full, and the prefill was thrown away and paid again until the retry budget was spent. Ruled out: foreign streams (no engine was overfilled by two owners).

--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -180,6 +180,8 @@
     """Free slots that the owner counts after this answer."""
     wait_s: float
     """Estimated wait for an urgent request that asks now."""
+    delay_s: float = 0.0
+    """Expected time until a granted slot is free."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -150,7 +150,7 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        for engine in {key[0] for key in self._waiting}:
+        for engine in dict.fromkeys(key[0] for key in self._waiting):
             book = self._ledgers.get(engine)
             if book is not None:
                 self._deliver(engine, book.tick(now), now)
@@ -195,8 +195,17 @@
             fut = self._waiting.pop((engine, action.request_id), None)
             if fut is None or fut.done():
                 continue
-            granted = isinstance(action, ledger.Granted)
-            reason = "" if granted else action.reason.value
-            wait_s = book.wait_estimate(ledger.URGENT, now)
-            room = book.room(now)
-            fut.set_result(peers.SlotAnswer(granted, reason, room, wait_s))
+            fut.set_result(_answer(book, action, now))
+
+
+def _answer(
+    book: ledger.SlotLedger, action: ledger.Action, now: float
+) -> peers.SlotAnswer:
+    granted = isinstance(action, ledger.Granted)
+    return peers.SlotAnswer(
+        granted=granted,
+        reason="" if granted else action.reason.value,
+        room=book.room(now),
+        wait_s=book.wait_estimate(ledger.URGENT, now),
+        delay_s=action.delay_s if granted else 0.0,
+    )
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -68,7 +68,8 @@
     reply: requests.ServiceReply | None = None
     refusal: requests.Refusal | None = None
     retry_after_s: float = 1.0
-    lead_s: float = 0.0
+    slot_free_at: float = 0.0
+    """Monotonic time by which the granted decode slot should be free."""
     attempt: int = 0
     excluded: set[str] = attrs.field(factory=set)
     """Endpoints that failed this request."""
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -134,7 +134,7 @@
         self._directory.learn(candidate.name, answer.room, answer.wait_s)
         if not answer.granted:
             return errors.Overloaded(answer.reason)
-        ctx.lead_s = candidate.lead_s
+        ctx.slot_free_at = ctx.now() + answer.delay_s
         return _Slot(candidate.name, owner)
 
     def _wait_limit(
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -22,6 +22,8 @@
 DECODE_TIMEOUT_S = 2.0
 KV_RETRY_MARGIN_S = 0.1
 """Life that a KV cache must have left for a second transfer."""
+FULL_PAUSE_S = 0.025
+"""Pause before an engine that was full is tried again with the same KV."""
 
 
 @attrs.frozen
@@ -143,15 +145,35 @@
     async def _decode(
         self, ctx: base.Context, kv: _Prefilled
     ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
-        opened = await self._decode_once(ctx, kv)
-        if opened.is_ok() or not isinstance(
-            opened.error, errors.TransferFailed
-        ):
-            return opened
-        if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
-            return opened
-        ctx.note(self.name, "transfer retried from the same KV")
-        return await self._decode_once(ctx, kv)
+        await self._await_slot(ctx, kv)
+        may_move_again = True
+        while True:
+            opened = await self._decode_once(ctx, kv)
+            if opened.is_ok() or ctx.run.stop is not None:
+                return opened
+            if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
+                return opened
+            if isinstance(opened.error, errors.TransferFailed):
+                if not may_move_again:
+                    return opened
+                may_move_again = False
+                ctx.note(self.name, "transfer retried from the same KV")
+            elif self._is_granted_early(opened.error):
+                # The slot was granted ahead of the end of a running stream.
+                await asyncio.sleep(FULL_PAUSE_S)
+            else:
+                return opened
+
+    def _is_granted_early(self, error: errors.SeamError) -> bool:
+        full = isinstance(error, errors.EndpointFull)
+        return full and self._planner.reserves
+
+    async def _await_slot(self, ctx: base.Context, kv: _Prefilled) -> None:
+        """Waits until the granted slot is free, while the KV cache lives."""
+        until = min(ctx.slot_free_at, kv.expires_at - KV_RETRY_MARGIN_S)
+        wait_s = until - ctx.now()
+        if wait_s > 0:
+            await runs.until_stopped(ctx.run, asyncio.sleep(wait_s))
 
     async def _decode_once(
         self, ctx: base.Context, kv: _Prefilled
