Be ready only once listed and with a mirror that votes

Cause: right after the start of two instances, a model request was refused for want of a quorum (acks=1, needed=2): instances said that they were ready while their mirrors still learnt of runs.

--- a/bench/measure_fleet.py
+++ b/bench/measure_fleet.py
@@ -102,7 +102,8 @@
         self.store.put(
             config.CONFIG_KEY, config_check.encode(self._config()), 0
         )
-        self.store.set_endpoints(self._records())
+        for record in self._records():
+            self.store.register(record)
         for each in self.nodes.values():
             await each.start()
         for each in self.nodes.values():
--- a/packages/seam_node/seam_node/controllers/membership_view.py
+++ b/packages/seam_node/seam_node/controllers/membership_view.py
@@ -44,6 +44,10 @@
     wakes: int = 0
     """Number of pauses noticed."""
 
+    def lists(self, name: str) -> bool:
+        """Tells whether an instance is listed and does not leave."""
+        return any(site.name == name for site in self.listed)
+
     def is_live(self, name: str, incarnation: int) -> bool:
         """Tells whether this incarnation is not known to have ended."""
         if name == self.own.name:
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -171,8 +171,13 @@
         """Returns why no new work is taken, or None."""
         if self.config.current() is None:
             return errors.InstanceNotReady("no confirmed configuration yet")
-        if self.members.view().fleet_at is None:
+        view = self.members.view()
+        if view.fleet_at is None:
             return errors.InstanceNotReady("no list of the fleet yet")
+        if not (view.own.leaving or view.lists(self.record.name)):
+            return errors.InstanceNotReady("the platform does not list it yet")
+        if self.mirror.warming:
+            return errors.InstanceNotReady("its mirror learns of runs yet")
         fresh = self.config.freshness(self.ports.clock.monotonic())
         return fresh.error if fresh.is_error() else None
 
