--- /dev/null
+++ b/tests/proofs/test_config.py
@@ -0,0 +1,295 @@
+"""Proofs that accepted configurations reach all, once, and never revert."""
+
+import asyncio
+import random
+
+import attrs
+import expression
+from proofs import fleet
+import pytest
+
+from seam_model import config
+from seam_model import errors
+from seam_node.controllers import config as config_controller
+from standins import history
+
+SEEDS = fleet.seeds(2)
+POLL_S = 0.05
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+class Operators:
+    """Operators on several instances, who note what was accepted."""
+
+    def __init__(self, flt):
+        self.flt = flt
+        self.rng = random.Random(flt.rng.getrandbits(32))
+        self.results = []
+
+    async def change(self, name, expected=None, width=None):
+        """Applies a change as one operator; a conflict is an answer too."""
+        node = self.flt.node(name)
+        cfg = node.config.current()
+        if cfg is None:
+            return None
+        width = width or self.rng.randint(1, 64)
+        entry = attrs.evolve(cfg.defaults.entry, width=width)
+        draft = attrs.evolve(
+            cfg.draft(), defaults=attrs.evolve(cfg.defaults, entry=entry)
+        )
+        base = cfg.version if expected is None else expected
+        change_id = f"{name}-{len(self.results)}-{now()}"
+        job = self.flt.spawn(
+            name, node.config.apply(draft, name, "a test", base, change_id)
+        )
+        self.results.append(None)
+        result = await job
+        self.results.append(result)
+        if result.is_ok():
+            accepted = history.ConfigAccepted(result.ok.version, now())
+            self.flt.history.accepted.append(accepted)
+        return result
+
+    async def work(self, count):
+        """Changes at random instances, at times two at once."""
+        for _ in range(count):
+            names = sorted(self.flt.instances)
+            pair = self.rng.sample(names, min(2, len(names)))
+            jobs = [asyncio.ensure_future(self.change(name)) for name in pair]
+            await asyncio.wait(jobs, timeout=3.0)
+            await asyncio.sleep(self.rng.uniform(0, 1))
+
+
+async def watch(flt):
+    """Notes each version that an instance puts in force."""
+    held = {}
+    while True:
+        for name, instance in flt.instances.items():
+            cfg = instance.node.config.current()
+            seen = (instance, cfg.version if cfg else None)
+            if cfg is not None and held.get(name) != seen:
+                held[name] = seen
+                row = history.ConfigSeen(name, cfg.version, now())
+                flt.history.config_seen.append(row)
+        await asyncio.sleep(POLL_S)
+
+
+def session(seed, scenario):
+    """Runs a scenario on a fresh fleet; returns violations and its result."""
+
+    async def main():
+        flt = fleet.Fleet(seed, instances=5)
+        await flt.start()
+        watcher = asyncio.ensure_future(watch(flt))
+        operators = Operators(flt)
+        result = await scenario(flt, operators)
+        await asyncio.sleep(history.CONFIG_LIMIT_S + 2)
+        watcher.cancel()
+        found = flt.violations()
+        await flt.close()
+        return found, result
+
+    return fleet.run(main())
+
+
+# Faults, each a coroutine that runs beside the operators
+
+
+async def none(flt, rng):
+    """Nothing fails."""
+
+
+async def platform_slow(flt, rng):
+    flt.store.latency_s = 1.5
+    await asyncio.sleep(8)
+    flt.store.latency_s = 0.0
+
+
+async def platform_out(flt, rng):
+    for _ in range(2):
+        await asyncio.sleep(rng.uniform(0.5, 2))
+        flt.store.down = True
+        await asyncio.sleep(rng.uniform(1, 4))
+        flt.store.down = False
+
+
+async def answers_lost(flt, rng):
+    for _ in range(8):
+        flt.store.lose_answers = 1
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+
+
+async def restarts(flt, rng):
+    for _ in range(3):
+        await asyncio.sleep(rng.uniform(0.2, 2))
+        name = rng.choice(sorted(flt.instances))
+        await flt.kill(name)
+        await asyncio.sleep(rng.uniform(0.1, 2))
+        await flt.start_instance(name)
+
+
+async def links_lossy(flt, rng):
+    flt.links.loss = 0.1
+    await asyncio.sleep(8)
+    flt.links.loss = 0.0
+
+
+FAULTS = (none, platform_slow, platform_out, answers_lost, restarts)
+PAIRS = (
+    (links_lossy,),
+    (platform_out, restarts),
+    (answers_lost, restarts),
+    (platform_slow, answers_lost),
+    (restarts, restarts),
+)
+
+
+def under(*faults):
+    """Returns a scenario of changes under faults."""
+
+    async def scenario(flt, operators):
+        jobs = [
+            asyncio.ensure_future(
+                fault(flt, random.Random(flt.rng.getrandbits(32)))
+            )
+            for fault in faults
+        ]
+        await operators.work(6)
+        await asyncio.gather(*jobs)
+        return flt.history
+
+    return scenario
+
+
+def name_of(faults):
+    return "+".join(fault.__name__ for fault in faults)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "faults", [*((fault,) for fault in FAULTS), *PAIRS], ids=name_of
+)
+def test_accepted_versions_rise_everywhere_in_time(seed, faults):
+    found, seen = session(seed, under(*faults))
+    assert found == []
+    versions = [accepted.version for accepted in seen.accepted]
+    assert len(set(versions)) == len(versions) > 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_operators_at_once_and_one_is_told_of_the_other(seed):
+    async def scenario(flt, operators):
+        return await asyncio.gather(
+            operators.change("e1", expected=1, width=11),
+            operators.change("e4", expected=1, width=14),
+        )
+
+    found, results = session(seed, scenario)
+    assert found == []
+    lost = [result.error for result in results if result.is_error()]
+    assert [type(error) for error in lost] == [errors.ConfigConflict]
+    assert (lost[0].version, lost[0].who) in ((2, "e1"), (2, "e4"))
+    assert "entry.width" in lost[0].what
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_peers_spread_what_was_accepted_just_before_an_outage(seed):
+    async def scenario(flt, operators):
+        cut = [name for name in flt.names if name != "e2"]
+        for name in cut:
+            flt.links.cut(name, "platform")
+        result = await operators.change("e2")
+        flt.store.down = True
+        await asyncio.sleep(history.CONFIG_LIMIT_S)
+        held = [flt.node(name).config.version() for name in flt.names]
+        return result, held
+
+    found, (result, held) = session(seed, scenario)
+    assert found == []
+    assert (result.ok.version, held) == (2, [2] * 5)
+
+
+def test_instance_that_starts_in_an_outage_waits_for_a_serving_peer():
+    async def scenario(flt, operators):
+        await operators.change("e1")
+        await asyncio.sleep(2)
+        await flt.kill("e3")
+        real = flt.store.get
+        out = expression.Error(errors.PlatformUnavailable("get"))
+        started = await flt.start_instance("e3")
+        # The list is still answered; objects are not.
+        flt.store.get = lambda key: out
+        await asyncio.sleep(3)
+        served = started.node.config.current()
+        flt.store.get = real
+        return served
+
+    found, served = session(1, scenario)
+    assert found == []
+    assert served.version == 2
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_stale_read_after_a_restart_is_not_served(seed):
+    async def scenario(flt, operators):
+        old = flt.store.get(config.CONFIG_KEY)
+        await operators.change("e1")
+        await asyncio.sleep(2)
+        await flt.kill("e3")
+        real, flt.store.get = flt.store.get, lambda key: old
+        started = await flt.start_instance("e3")
+        await asyncio.sleep(4)
+        served = started.node.config.current()
+        flt.store.get = real
+        return served
+
+    found, served = session(seed, scenario)
+    assert found == []
+    assert served.version == 2
+
+
+def test_instance_that_starts_cut_off_from_all_serves_nothing():
+    async def scenario(flt, operators):
+        await operators.change("e1")
+        await asyncio.sleep(1)
+        await flt.kill("e3")
+        flt.part("e3")
+        flt.links.cut("e3", "platform")
+        started = await flt.start_instance("e3")
+        await asyncio.sleep(6)
+        alone = started.node.not_ready()
+        flt.links.heal()
+        await asyncio.sleep(5)
+        return alone, started.node.config.current()
+
+    found, (alone, healed) = session(1, scenario)
+    assert found == []
+    assert isinstance(alone, errors.InstanceNotReady)
+    assert healed.version == 2
+
+
+# Planted fault: the checker must see it
+
+
+def test_removed_version_check_is_caught(monkeypatch):
+    def take_any(self, cfg):
+        self._cfg = cfg
+        self._served = True
+
+    monkeypatch.setattr(config_controller.ConfigController, "_offer", take_any)
+
+    async def scenario(flt, operators):
+        await operators.change("e1")
+        old = flt.store.get(config.CONFIG_KEY).ok
+        await asyncio.sleep(1)
+        await operators.change("e1")
+        await asyncio.sleep(1)
+        for name in flt.names:
+            flt.node(name).config._take(expression.Ok(old))
+        await asyncio.sleep(1)
+
+    found, _ = session(1, scenario)
+    assert history.ConfigFell in {type(each) for each in found}
