Tell the monitored peers at once that an instance leaves

A leaving instance was out of its own entry answers at once, but its peers named it until its next heartbeat, up to 1 s later. It now sends one when it begins to leave. Beyond the monitored peers the platform's list tells it, seconds later.

Proofs of leaving: streams and orders in progress end whole beside an outage, a death, another leaving and a second signal; outcomes held up by an outage are stored before the end.

--- a/packages/seam_node/seam_node/controllers/membership.py
+++ b/packages/seam_node/seam_node/controllers/membership.py
@@ -168,6 +168,7 @@
             case _Leave():
                 self._own = attrs.evolve(self._own, leaving=True)
                 self._changed = True
+                self._send_beats()
                 self._publish()
         return None
 
@@ -240,6 +241,10 @@
         self.wakes()
         self._due_next()
         self._judge()
+        self._send_beats()
+        self._publish()
+
+    def _send_beats(self) -> None:
         self._sequence += 1
         beat = messages.Heartbeat(
             self._own.name,
@@ -251,7 +256,6 @@
         )
         for name in self._monitored + self._probed():
             self.spawn(self._beat(name, beat))
-        self._publish()
 
     async def _beat(self, name: str, beat: messages.Heartbeat) -> None:
         answer = await self._network.request(name, beat, HEARTBEAT_TIMEOUT_S)
--- a/tests/proofs/senders.py
+++ b/tests/proofs/senders.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 import attrs
-from proofs import fleet as fleet_module
 
+from proofs import fleet as fleet_module
 from seam_model import ids
 from seam_node.filters import base
 from standins import history
--- a/tests/proofs/test_drain.py
+++ b/tests/proofs/test_drain.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from proofs import callers
 from proofs import fleet
 from proofs import senders
-import pytest
-
 from seam_node.controllers import drain
 
 SEEDS = fleet.seeds(2)
