--- a/tests/proofs/test_config.py
+++ b/tests/proofs/test_config.py
@@ -5,9 +5,9 @@
 
 import attrs
 import expression
-from proofs import fleet
 import pytest
 
+from proofs import fleet
 from seam_model import config
 from seam_model import errors
 from seam_node.controllers import config as config_controller
--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -5,9 +5,9 @@
 import json
 
 import attrs
-from proofs import fleet
 import pytest
 
+from proofs import fleet
 from seam_model import config
 from seam_model import config_check
 from seam_model import endpoints
--- a/tests/proofs/test_orders.py
+++ b/tests/proofs/test_orders.py
@@ -4,10 +4,10 @@
 import random
 
 import attrs
-from proofs import fleet
-from proofs import senders
 import pytest
 
+from proofs import fleet
+from proofs import senders
 from seam_model import claims as claim_model
 from seam_model import config
 from seam_node.filters import claim
--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -85,6 +85,15 @@
     idle_s: float
 
 
+@attrs.frozen
+class ModelOrderSeen:
+    """An engine acted on an order for its role or models."""
+
+    engine: str
+    fence: int
+    at_s: float
+
+
 @attrs.define
 class History:
     """Everything that was recorded in one session."""
@@ -94,6 +103,7 @@
     accepted: list[ConfigAccepted] = attrs.Factory(list)
     config_seen: list[ConfigSeen] = attrs.Factory(list)
     lives: list[Life] = attrs.Factory(list)
+    model_orders: list[ModelOrderSeen] = attrs.Factory(list)
     held: list[Held] = attrs.Factory(list)
     """What engines hold once callers have been quiet."""
 
@@ -127,6 +137,9 @@
 class ConfigLate(Violation): ...
 
 
+class FenceFell(Violation): ...
+
+
 class WorkOnLeaving(Violation): ...
 
 
@@ -216,6 +229,17 @@
     return found
 
 
+def fences_rise(h: History) -> list[Violation]:
+    """No engine acts for an older holder of the lease than before."""
+    highest: dict[str, int] = {}
+    found = []
+    for seen in sorted(h.model_orders, key=lambda seen: seen.at_s):
+        if seen.fence < highest.get(seen.engine, 0):
+            found.append(FenceFell(seen.engine, str(seen.fence)))
+        highest[seen.engine] = max(seen.fence, highest.get(seen.engine, 0))
+    return found
+
+
 def config_in_time(h: History) -> list[Violation]:
     """An accepted version is in force everywhere within the limit."""
     found = []
@@ -266,6 +290,7 @@
     orders_once,
     config_rises,
     config_in_time,
+    fences_rise,
     leaving,
     memory_freed,
 )
