--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -160,7 +160,7 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        for engine in {key[0] for key in self._waiting}:
+        for engine in dict.fromkeys(key[0] for key in self._waiting):
             book = self._ledgers.get(engine)
             if book is not None:
                 self._deliver(engine, book.tick(now), now)
@@ -170,14 +170,8 @@
     def _reconfigure(self) -> None:
         for engine, book in self._ledgers.items():
             record = self._directory.record(engine)
-            defaults = self._defaults(record) if record else None
-            if defaults is not None:
-                shares = defaults.admission
-                book.configure(
-                    shares.other_floor,
-                    shares.urgent_reserve,
-                    shares.queue_limit,
-                )
+            if record is not None:
+                book.configure(self._limits(record))
 
     def _ledger(self, engine: str) -> ledger.SlotLedger | None:
         if self._owners.owner_of(engine) != self._self_name:
@@ -217,8 +211,17 @@
             fut = self._waiting.pop((engine, action.request_id), None)
             if fut is None or fut.done():
                 continue
-            granted = isinstance(action, ledger.Granted)
-            reason = "" if granted else action.reason.value
-            wait_s = book.wait_estimate(ledger.URGENT, now)
-            room = book.room(now)
-            fut.set_result(peers.SlotAnswer(granted, reason, room, wait_s))
+            fut.set_result(_answer(book, action, now))
+
+
+def _answer(
+    book: ledger.SlotLedger, action: ledger.Action, now: float
+) -> peers.SlotAnswer:
+    granted = isinstance(action, ledger.Granted)
+    return peers.SlotAnswer(
+        granted=granted,
+        reason="" if granted else action.reason.value,
+        room=book.room(now),
+        wait_s=book.wait_estimate(ledger.URGENT, now),
+        delay_s=action.delay_s if granted else 0.0,
+    )
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -40,7 +40,9 @@
 from seam_node.controllers import roles_demand
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
+from seam_node.controllers import service_gate
 from seam_node.filters import account
+from seam_node.filters import admit
 from seam_node.filters import base
 from seam_node.filters import call
 from seam_node.filters import claim
@@ -112,6 +114,7 @@
         self.runs = runs.RunTable()
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
+        self.gates = service_gate.ServiceGates(self.directory, ports.clock)
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
@@ -196,7 +199,7 @@
         names = {site.name for site in self.members.view().live}
         names.discard(self.record.name)
         holders = await self.registry.holders(packed, tag)
-        for name in holders & names:
+        for name in sorted(holders & names):
             answer = await self.ports.peers.request(
                 name,
                 peers.CancelRun(packed, tag),
@@ -209,12 +212,11 @@
     def entry_answer(self, workspace: str) -> requests.EntryAnswer:
         """Returns which instances a caller should use."""
         cfg = self.config.current()
-        defaults = cfg.defaults.entry if cfg else None
+        rule = (
+            config.resolve(cfg, self._scope(workspace)).entry if cfg else None
+        )
         return entry.answer(
-            self.members.view(),
-            self.settings.distances,
-            workspace,
-            defaults,
+            self.members.view(), self.settings.distances, workspace, rule
         )
 
     # Operators
@@ -222,6 +224,9 @@
     def status(self) -> admin.InstanceStatus:
         """Returns what this instance says of itself."""
         reason = self.not_ready()
+        now = self.ports.clock.monotonic()
+        fresh = self.config.freshness(now)
+        held = self.roles_lease.valid_for(now) > 0
         return admin.InstanceStatus(
             name=self.record.name,
             data_centre=self.record.data_centre,
@@ -234,6 +239,10 @@
             not_ready=reason.describe() if reason else "",
             live_peers=len(self._live_peers()),
             unstored_claims=self.claims.unstored(),
+            config_silent_s=(
+                fresh.ok if fresh.is_ok() else fresh.error.silent_s
+            ),
+            leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
             ledgers=status.ledgers(self.owner),
             outcomes=self.metrics.outcomes(),
         )
@@ -302,6 +311,7 @@
             ports.clock,
             self._cancel_at_engine,
             self.registry.own_runs,
+            resume_window_s=self._resume_window_s,
         )
         self.proof = liveness.MirrorProof(self.members, self.registry)
         ports.peers.handle(peers.CancelRun, self._on_cancel_run)
@@ -334,7 +344,12 @@
             self.ownership,
             self.owner,
             self.planner,
-            reaper.Reaper(self.members, self.ports.peers, self._reaped),
+            reaper.Reaper(
+                self.members,
+                self.ports.peers,
+                self._reaped,
+                self._resume_window_s,
+            ),
         )
 
     def _make_orders(self) -> None:
@@ -448,6 +463,7 @@
             ),
             identify.IdentifyFilter(self.settings.workspaces.keys),
             limit.LimitFilter(self._limiter, self.ports.clock),
+            admit.AdmitFilter(self.gates),
             claim.ClaimFilter(self.claims),
             call.CallFilter(
                 self.directory, self.ports.services, self._budget, self.rng
@@ -486,13 +502,29 @@
 
     def _on_config(self, cfg: config.FleetConfig) -> None:
         self.log.event("config_in_force", version=cfg.version)
+        names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
+        own = config.resolve(cfg, self._scope(""))
         self._limiter.configure(
-            _limits(cfg.defaults.workspace), _workspace_limits(cfg)
+            _limits(own.workspace),
+            {
+                name: _limits(config.resolve(cfg, self._scope(name)).workspace)
+                for name in names
+            },
         )
-        self._budget.configure(cfg.defaults.retry.budget_ratio)
+        self._budget.configure(own.retry.budget_ratio)
         self.drain.configure(cfg.defaults.drain.refuse_after_s)
         self.owner.tell(owner.Reconfigure())
 
+    def _scope(self, workspace: str) -> config.Scope:
+        """Returns the scope of what a workspace does at this instance."""
+        return config.Scope(
+            workspace=workspace, data_centre=self.record.data_centre
+        )
+
+    def _resume_window_s(self) -> float:
+        defaults = self._defaults()
+        return defaults.resume_window_s if defaults else mirror.RESUME_WINDOW_S
+
     def _on_phase(self, phase: drain.Phase) -> None:
         self.log.event("drain_phase", phase=phase.name.lower())
         if phase is drain.Phase.ANNOUNCED:
@@ -571,14 +603,3 @@
     return limits.WorkspaceLimits(
         rule.rate_per_s, float(rule.burst), rule.concurrency
     )
-
-
-def _workspace_limits(
-    cfg: config.FleetConfig,
-) -> dict[str, limits.WorkspaceLimits]:
-    names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
-    scopes = {name: config.Scope(workspace=name) for name in names}
-    return {
-        name: _limits(config.resolve(cfg, scope).workspace)
-        for name, scope in scopes.items()
-    }
