Let a repeated order wait for the outcome of the attempt that runs

A repeat during the first attempt, or within the 0.25 s for which an outcome waits to share a write, was refused outcome_unknown with ran: unknown, although the outcome was about to be stored. It now asks up to four times, 0.3 s apart.

Ruled out: recording before the reply is sent, which adds a platform write to the latency of every order.

Cost: one platform read for each further ask of a repeat.

--- a/packages/seam_node/seam_node/controllers/claims.py
+++ b/packages/seam_node/seam_node/controllers/claims.py
@@ -26,6 +26,10 @@
 ASK_TIMEOUT_S = 0.5
 OWNER_ASKS = 2
 """Times that the owner is asked before the instance writes by itself."""
+HELD_ASKS = 4
+"""Times that the outcome of a claim of another attempt is asked for."""
+HELD_PAUSE_S = 0.3
+"""A little over the time for which outcomes wait for company."""
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 5.0
 SWEEP_PERIOD_S = 60.0
@@ -109,7 +113,7 @@
         nonce = self._rng.randbytes(claims.NONCE_BYTES)
         req = peers.ClaimRequest(packed, digest, self._self_name, nonce)
         try:
-            answer = await self._ask(req)
+            answer = await self._ask_for_outcome(req)
         except asyncio.CancelledError:
             self._release(packed, nonce)
             raise
@@ -147,6 +151,18 @@
 
     # Asking
 
+    async def _ask_for_outcome(
+        self, req: peers.ClaimRequest
+    ) -> peers.ClaimAnswer:
+        """Gives another attempt that holds the key some time to end."""
+        answer = await self._ask(req)
+        for _ in range(HELD_ASKS - 1):
+            if answer.state != claims.ClaimState.HELD.value:
+                break
+            await asyncio.sleep(HELD_PAUSE_S)
+            answer = await self._ask(req)
+        return answer
+
     async def _ask(self, req: peers.ClaimRequest) -> peers.ClaimAnswer:
         doubt = False
         answer = peers.ClaimAnswer(claims.ClaimState.UNAVAILABLE.value)
--- a/tests/proofs/test_orders.py
+++ b/tests/proofs/test_orders.py
@@ -222,6 +222,24 @@
     assert repeat.error.code == "platform_unavailable"
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_repeat_while_the_order_runs_or_right_after_is_answered_alike(seed):
+    async def scenario(flt, clients):
+        key = clients.new_key()
+        for core in flt.services.values():
+            core.faults.latency_s = 0.3
+        first = clients.send(key, "e1")
+        await asyncio.sleep(0.1)
+        during = await clients.ask(key, "e2")
+        after = await clients.ask(key, "e3")
+        return [call.reply for call in (first, during, after)]
+
+    found, replies = session(seed, scenario)
+    assert found == []
+    assert replies[0] is not None
+    assert replies == [replies[0]] * 3
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_death_between_claim_and_send_leaves_the_order_unknown(seed):
     async def scenario(flt, clients):
