--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -124,7 +124,7 @@
         """
         silent_s = max(0.0, now - self._heard_at)
         if silent_s > self._silent_s:
-            return expression.Error(errors.ConfigStale(silent_s))
+            return expression.Error(errors.ConfigStale(round(silent_s, 1)))
         return expression.Ok(silent_s)
 
     def _held(self) -> int:
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions."""
