--- a/tests/proofs/test_config.py
+++ b/tests/proofs/test_config.py
@@ -9,6 +9,7 @@
 
 from proofs import fleet
 from seam_model import config
+from seam_model import config_check
 from seam_model import errors
 from seam_node.controllers import config as config_controller
 from standins import history
@@ -89,6 +90,11 @@
         await asyncio.sleep(history.CONFIG_LIMIT_S + 2)
         watcher.cancel()
         found = flt.violations()
+        held = {
+            config_check.encode(instance.node.config.current())
+            for instance in flt.instances.values()
+        }
+        assert len(held) == 1
         await flt.close()
         return found, result
 
@@ -137,13 +143,39 @@
     flt.links.loss = 0.0
 
 
-FAULTS = (none, platform_slow, platform_out, answers_lost, restarts)
+async def watch_silent(flt, rng):
+    """The platform's answers to one instance get lost on the way."""
+    flt.links.cut("platform", rng.choice(flt.names), both=False)
+    await asyncio.sleep(8)
+    flt.links.heal()
+
+
+async def pauses(flt, rng):
+    for _ in range(3):
+        await asyncio.sleep(rng.uniform(0.2, 1))
+        name = rng.choice(sorted(flt.instances))
+        flt.freeze(name)
+        await asyncio.sleep(rng.uniform(0.5, 2))
+        flt.thaw(name)
+
+
+FAULTS = (
+    none,
+    platform_slow,
+    platform_out,
+    answers_lost,
+    restarts,
+    watch_silent,
+    pauses,
+)
 PAIRS = (
     (links_lossy,),
     (platform_out, restarts),
     (answers_lost, restarts),
     (platform_slow, answers_lost),
     (restarts, restarts),
+    (watch_silent, platform_slow),
+    (pauses, answers_lost),
 )
 
 
