Keep a task going when the handling of one message fails

An exception in receive ended the mailbox loop silently: the instance went on without its claims, leases or ledgers, and whoever asked waited for ever. It is now reported through the loop's exception handler (the daemon logs it as task_failed), the asker gets it, and the next message is handled.

Also: a model that a newer configuration dropped while orders went out raised KeyError in the pacing of loads.

--- a/packages/seam_node/seam_node/controllers/roles_wanted.py
+++ b/packages/seam_node/seam_node/controllers/roles_wanted.py
@@ -84,7 +84,9 @@
         adapters = len(set(target.adapters) - set(record.adapters))
         size = adapters * ADAPTER_BYTES
         for model in set(target.models) - set(record.models):
-            size += defaults.models[model].weight_bytes
+            # A newer configuration may have dropped the model meanwhile.
+            rule = defaults.models.get(model)
+            size += rule.weight_bytes if rule else 0
         return size / defaults.weights.bytes_per_s
 
     def decide(
--- a/packages/seam_node/seam_node/daemon.py
+++ b/packages/seam_node/seam_node/daemon.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from typing import Annotated
+from typing import Any
 
 import eliot
 from tornado import netutil
@@ -98,6 +99,9 @@
     instance = node.Node(
         settings, record, ports, random.Random(incarnation), meter=meter
     )
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: _log_fault(log, context)
+    )
     _leave_on_signals(instance)
     await instance.start()
     server = callers.make_server(instance)
@@ -127,6 +131,15 @@
     eliot.add_destinations(logs.Destination(stream, settings.level))
 
 
+def _log_fault(log: logs.Log, context: dict[str, Any]) -> None:
+    """Logs an exception that nothing else handled, in one line."""
+    exc = context.get("exception")
+    if exc is None:
+        log.event("task_failed", "error", detail=context["message"])
+    else:
+        log.bug("task_failed", exc, what=context["message"])
+
+
 def _leave_on_signals(instance: node.Node) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/seam_node/seam_node/task.py
+++ b/packages/seam_node/seam_node/task.py
@@ -71,9 +71,26 @@
     async def _run(self) -> None:
         while True:
             message = await self._mailbox.get()
-            if not isinstance(message, _Ask):
-                await self.receive(message)
+            fut = None
+            if isinstance(message, _Ask):
+                message, fut = message.message, message.fut
+            try:
+                answer = await self.receive(message)
+            except Exception as exc:
+                self._failed(message, fut, exc)
                 continue
-            answer = await self.receive(message.message)
-            if not message.fut.done():
-                message.fut.set_result(answer)
+            if fut is not None and not fut.done():
+                fut.set_result(answer)
+
+    def _failed(
+        self, message: Any, fut: asyncio.Future | None, exc: Exception
+    ) -> None:
+        """Reports a fault of ours; the task goes on with the next message."""
+        asyncio.get_running_loop().call_exception_handler(
+            {
+                "message": f"{self.name} failed on {type(message).__name__}",
+                "exception": exc,
+            }
+        )
+        if fut is not None and not fut.done():
+            fut.set_exception(exc)
