Read the configuration between watches when no peer is heard

Seen in a trial with processes: with one of three instances killed and one stopped, the last one refused work as config_stale (silent 8.5 s) although the platform answered. Cause: a watch waits 20 s, longer than the 8 s of silence allowed, and without peers nothing else is heard. Ruled out: heartbeats of the membership, which work as soon as there is a peer; a shorter watch for all, which would cost each instance of a large fleet more calls. Costs one read each 2 to 3 s, only without peers.

--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -25,6 +25,8 @@
 RETRY_S = 0.5
 PEER_TIMEOUT_S = 2.0
 SETTLE_TRIES = 6
+PROBES_PER_SILENCE = 8
+"""Chances to ask the platform within the longest silence allowed."""
 
 Listener = Callable[[config.FleetConfig], None]
 
@@ -84,6 +86,7 @@
         """Starts following the platform and peers."""
         await super().start()
         self.spawn(self._follow())
+        self.spawn(self._probe())
 
     async def receive(self, message: Any) -> None:
         """Fetches from a peer that named a higher version."""
@@ -158,6 +161,19 @@
             if not self._take(result):
                 await asyncio.sleep(RETRY_S)
 
+    async def _probe(self) -> None:
+        """Reads the object when no peer was heard for a while.
+
+        A watch may wait longer than the longest silence that is allowed, and
+        an instance without peers hears nothing else.
+        """
+        period_s = self._silent_s / PROBES_PER_SILENCE
+        while True:
+            await asyncio.sleep(period_s)
+            silent_s = self._clock.monotonic() - self._heard_at
+            if self._confirmed and silent_s > 2 * period_s:
+                self._take(await self._platform.get(config.CONFIG_KEY))
+
     def _is_missing(self, result: expression.Result) -> bool:
         return result.is_error() and isinstance(
             result.error, errors.ObjectMissing
--- a/tests/seam_node/test_in_force.py
+++ b/tests/seam_node/test_in_force.py
@@ -1,5 +1,6 @@
 """What operators accepted is what runs, exceptions included."""
 
+import asyncio
 import random
 
 import attrs
@@ -111,3 +112,18 @@
             outcomes(data_centre, scope, {"entry.cache_s": 7.0}, "wv")
         )
         assert cache_s == {"w": wanted, "v": 30.0}
+
+
+def test_an_instance_without_peers_stays_ready_while_the_platform_answers():
+    async def main():
+        made = make_node("cebu-a")
+        await made.start()
+        await made.wait_ready()
+        found = set()
+        for _ in range(200):
+            await asyncio.sleep(0.5)
+            found.add(made.not_ready())
+        await made.close()
+        assert found == {None}
+
+    virtual_loop.run(main())
