--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -95,7 +95,7 @@
                 return answer
             last = answer
             if ctx.run.stop is not None:
-                return errors.Cancelled(ctx.run.stop.value)
+                return runs.stop_error(ctx.run, self.name)
         return last
 
     async def _ask(
@@ -125,7 +125,7 @@
         if answered is None:
             slot = _Slot(candidate.name, owner)
             self._release(ctx, slot, failed=False)
-            return errors.Cancelled("caller")
+            return runs.stop_error(ctx.run, self.name)
         if answered.is_error():
             if isinstance(answered.error, errors.PeerTimeout):
                 self._release(ctx, _Slot(candidate.name, owner), failed=False)
@@ -134,7 +134,7 @@
         self._directory.learn(candidate.name, answer.room, answer.wait_s)
         if not answer.granted:
             return errors.Overloaded(answer.reason)
-        ctx.lead_s = candidate.lead_s
+        ctx.slot_free_at = ctx.now() + answer.delay_s
         return _Slot(candidate.name, owner)
 
     def _wait_limit(
