--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,7 +9,10 @@
 from bench import cluster
 from bench import hold
 from seam_ctl import exits
+from seam_model import admin
 from seam_model import errors
+from seam_node import gauges
+from seam_node import metrics
 from seam_node.web import refusals
 
 DOCS = cluster.ROOT / "docs"
@@ -102,3 +105,17 @@
     listed = [int(cells[0]) for cells in rows("ADMIN", "Exit codes")[1:]]
     values = [v for k, v in vars(exits).items() if k.isupper() and k[0] != "_"]
     assert listed == sorted(values)
+
+
+def test_metrics_that_the_pages_name_exist():
+    meter = metrics.Metrics()
+    status = admin.InstanceStatus("e1", "cebu-a", 1, "", "", "serving")
+    meter.registry.register(gauges.StatusCollector(lambda: status))
+    known = set(re.findall(r"^# HELP (\w+)", meter.text().decode(), re.M))
+    named = set()
+    for name in (*PAGES, "OPERATIONS", "GLOSSARY", "CHANGELOG"):
+        named |= set(re.findall(r"\bseam_\w+_\w+|\bseam_state\b", page(name)))
+    packages = {"seam_ctl", "seam_node", "seam_model", "seam_policy"}
+    named = {each.removesuffix("_bucket") for each in named} - packages
+    assert len(named) > 15
+    assert named <= known
