--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -182,7 +182,6 @@
 
     kv_bytes_per_token: int = _count()
     max_prompt_tokens: int = _count()
-    adapters: tuple[str, ...] = ()
     weight_bytes: int = toml_check.limits(high=10**15, default=0)
     """Size in the weight store; needed for models of `engines`."""
 
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -93,6 +93,8 @@
             answer = await self._ask(ctx, candidate, owner)
             if isinstance(answer, _Slot):
                 return answer
+            text = f"no slot at {candidate.name}, owner {owner}"
+            ctx.note(self.name, f"{text}: {answer.describe()}")
             last = answer
             if ctx.run.stop is not None:
                 return runs.stop_error(ctx.run, self.name)
@@ -135,6 +137,11 @@
         if not answer.granted:
             return errors.Overloaded(answer.reason)
         ctx.slot_free_at = ctx.now() + answer.delay_s
+        ctx.note(
+            self.name,
+            f"slot at {candidate.name} from its owner {owner}, free in "
+            f"{answer.delay_s:.3f} s, {answer.room} more",
+        )
         return _Slot(candidate.name, owner)
 
     def _wait_limit(
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -90,7 +90,12 @@
                 errors.NoEndpoint(f"prefill engine for {req.model}")
             )
         name = choices[0].name
-        ctx.note(self.name, f"prefill engine {name}")
+        ctx.note(
+            self.name,
+            f"prefill engine {name}, the best of {len(choices)}: expects "
+            f"{choices[0].prefill_s:.3f} s and {choices[0].transfer_s:.3f} s "
+            f"for the transfer",
+        )
         order = endpoints.PrefillOrder(
             req.request_id,
             ctx.run.incarnation,
@@ -120,6 +125,10 @@
         self._planner.prefilled(
             name, req, done.ok.cached_tokens, ctx.now() - started_at
         )
+        cached = done.ok.cached_tokens
+        ctx.note(
+            self.name, f"prefilled, {cached} of {req.prompt_tokens} cached"
+        )
         record = self._directory.record(name)
         return expression.Ok(
             _Prefilled(
