--- a/packages/seam_ctl/seam_ctl/client.py
+++ b/packages/seam_ctl/seam_ctl/client.py
@@ -1,4 +1,4 @@
-"""Asks one instance's operators' address; usable without the command line.
+"""Asks instances' operators' addresses; usable without the command line.
 
     client = AdminClient("http://127.0.0.1:8081", token)
     result = asyncio.run(client.status())
@@ -29,6 +29,7 @@
 
 _JSON = {"Content-Type": "application/json", "Expect": ""}
 _OK = 200
+_ASK_THE_NEXT = (errors.AdminUnreachable, errors.InstanceNotReady)
 # libcurl result codes of attempts that sent no byte.
 _NOT_SENT = frozenset(
     {
@@ -46,13 +47,24 @@
 
 
 class AdminClient:
-    """Asks one instance; methods may be called one after the other."""
+    """Asks the first instance that answers.
+
+    Going on with the next one is safe for changes too: the change id goes
+    along, and a change that was accepted already is answered, not repeated.
+    """
 
     def __init__(
-        self, url: str, token: str, timeout_s: float = ANSWER_TIMEOUT_S
+        self, urls: str, token: str, timeout_s: float = ANSWER_TIMEOUT_S
     ):
-        """Takes the operators' base URL, the token and the longest wait."""
-        self._url = url.rstrip("/")
+        """Takes operators' base URLs, the token and the longest wait.
+
+        Args:
+          urls: One base URL, or several with commas between them.
+          token: The operator's token.
+          timeout_s: Longest wait for each answer.
+        """
+        parts = (url.strip().rstrip("/") for url in urls.split(","))
+        self._urls = tuple(url for url in parts if url)
         self._token = token
         self._timeout_s = timeout_s
 
@@ -138,9 +150,28 @@
 
     async def _send(
         self, method: str, path: str, body: Any, cls: type
+    ) -> expression.Result:
+        """Asks one instance after the other until one can answer."""
+        sent = False
+        result: expression.Result = expression.Error(
+            errors.AdminUnreachable("", sent)
+        )
+        for url in self._urls:
+            result = await self._send_to(url, method, path, body, cls)
+            if result.is_ok() or not isinstance(result.error, _ASK_THE_NEXT):
+                return result
+            sent = sent or getattr(result.error, "sent", False)
+        if sent:
+            # One of them may have acted, whatever the last one said.
+            urls = ",".join(self._urls)
+            return expression.Error(errors.AdminUnreachable(urls, True))
+        return result
+
+    async def _send_to(
+        self, url: str, method: str, path: str, body: Any, cls: type
     ) -> expression.Result:
         req = httpclient.HTTPRequest(
-            self._url + path,
+            url + path,
             method=method,
             body=None if body is None else codec.to_json(body),
             headers={**_JSON, "Authorization": f"Bearer {self._token}"},
@@ -153,24 +184,28 @@
         try:
             resp = await client.fetch(req)
         except httpclient.HTTPError as exc:
-            return expression.Error(self._failure(exc))
+            return expression.Error(_failure(method, url, exc))
         except OSError:
-            return expression.Error(errors.AdminUnreachable(self._url, True))
+            changes = method != "GET"
+            return expression.Error(errors.AdminUnreachable(url, changes))
         finally:
             client.close()
         return _parse(resp, cls)
 
-    def _failure(self, exc: httpclient.HTTPError) -> errors.SeamError:
-        errno = getattr(exc, "errno", None)
-        if errno is not None or exc.response is None:
-            sent = errno not in _NOT_SENT
-            return errors.AdminUnreachable(self._url, sent)
-        body = codec.from_json(exc.response.body, admin.ErrorBody)
-        error = admin.error_of(body.ok) if body.is_ok() else None
-        if error is not None:
-            return error
-        text = exc.response.body.decode("utf-8", "replace")[:200]
-        return errors.AdminAnswerUnknown(exc.code, text)
+
+def _failure(
+    method: str, url: str, exc: httpclient.HTTPError
+) -> errors.SeamError:
+    errno = getattr(exc, "errno", None)
+    if errno is not None or exc.response is None:
+        sent = method != "GET" and errno not in _NOT_SENT
+        return errors.AdminUnreachable(url, sent)
+    body = codec.from_json(exc.response.body, admin.ErrorBody)
+    error = admin.error_of(body.ok) if body.is_ok() else None
+    if error is not None:
+        return error
+    text = exc.response.body.decode("utf-8", "replace")[:200]
+    return errors.AdminAnswerUnknown(exc.code, text)
 
 
 def _parse(
--- a/packages/seam_ctl/seam_ctl/main.py
+++ b/packages/seam_ctl/seam_ctl/main.py
@@ -30,7 +30,11 @@
 def options(
     ctx: typer.Context,
     url: Annotated[
-        str, typer.Option(help=f"Operators' address; {profile.URL_VARIABLE}.")
+        str,
+        typer.Option(
+            help="Operators' addresses, with commas between them; "
+            f"{profile.URL_VARIABLE}."
+        ),
     ] = "",
     token: Annotated[
         str, typer.Option(help=f"Better: {profile.TOKEN_VARIABLE}.")
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -480,7 +480,7 @@
     code = "admin_unreachable"
     url: str
     sent: bool
-    """Whether the instance may have received the request."""
+    """Whether an instance may have received a request to change something."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/web/admin_base.py
+++ b/packages/seam_node/seam_node/web/admin_base.py
@@ -149,7 +149,7 @@
         if isinstance(exc, errors.SeamException):
             self.refuse(exc.error)
             return
-        error: errors.SeamError = errors.SeamError()
+        error: errors.SeamError = errors.Internal(type(exc).__name__)
         if isinstance(exc, web.HTTPError):
             error = errors.BadInput("request", str(status_code), "see the docs")
         self.set_status(status_code)
--- a/tests/seam_ctl/test_main.py
+++ b/tests/seam_ctl/test_main.py
@@ -92,11 +92,14 @@
     assert "e2" in run("status")
 
 
-def test_exit_codes_tell_failures_apart(run):
+def test_exit_codes_tell_failures_apart(run, world):
+    url = world.urls["e1"]
     run("status", who="op.stranger", code=exits.DENIED)
     remove = ("exception", "remove", "x", "--why", "gone")
     run(*remove, who="vic", code=exits.DENIED)
     run("status", url=NO_PORT, code=exits.UNREACHABLE)
+    status = json.loads(run("status", "--json", url=f"{NO_PORT},{url}"))
+    assert status["asked"] == "e1"
     run("explain", "not-an-id", code=exits.INVALID)
     missing = "01912345-0000-7000-8000-000000000000"
     run("explain", missing, code=exits.NOT_FOUND)
--- a/tests/seam_node/web/test_admin.py
+++ b/tests/seam_node/web/test_admin.py
@@ -190,6 +190,29 @@
     assert [each.state for each in states] == ["serving", admin.UNREACHABLE]
 
 
+def test_a_change_that_met_a_dead_link_is_made_once(world):
+    async def main():
+        listener = await asyncio.start_server(
+            lambda reader, writer: writer.close(), "127.0.0.1", 0
+        )
+        port = listener.sockets[0].getsockname()[1]
+        dead = f"http://127.0.0.1:{port}"
+        urls = ",".join((dead, world.urls["e1"]))
+        conn = client.AdminClient(urls, world.tokens["ana"])
+        toml = with_width((await conn.config()).ok, 5)
+        first = await conn.apply(toml, "a test", 0, "change-1")
+        again = await conn.apply(toml, "a test", 0, "change-1")
+        alone = client.AdminClient(dead, world.tokens["ana"])
+        lost = await alone.apply(toml, "a test", 1, "change-2")
+        history = (await conn.history()).ok
+        listener.close()
+        return first.ok, again.ok, lost.error.sent, len(history.changes)
+
+    first, again, sent, changes = asyncio.run(main())
+    assert first == again
+    assert (sent, changes) == (True, 1)
+
+
 def test_an_operator_drains_an_instance_through_another(world):
     async def leave():
         conn, token = connect(world, "oli"), world.tokens["oli"]
