Ask three engines for a free slot, then queue where the wait is shortest

Cause, by trace: a request queued at the first engine that was drawn and stayed there for all of its 1.8 s, while other engines had slots; a request that the first two engines declined tried no third. Ruled out: prefill (the requests never held a slot). Now each of three engines is asked for a slot that is free at once, and the request queues at the one whose owner told the shortest wait; room and wait are told for the rank that asks. The slot messages moved into slots.py.

--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -177,9 +177,9 @@
     granted: bool
     reason: str
     room: int
-    """Free slots that the owner counts after this answer."""
+    """Free slots for the rank that asked, after this answer."""
     wait_s: float
-    """Estimated wait for an urgent request that asks now."""
+    """Estimated wait for a request of that rank that asks now."""
     delay_s: float = 0.0
     """Expected time until a granted slot is free."""
 
--- a/packages/seam_node/seam_node/controllers/engines.py
+++ b/packages/seam_node/seam_node/controllers/engines.py
@@ -20,7 +20,7 @@
 
 @attrs.define
 class Hint:
-    """What an owner last said of its engine."""
+    """What an owner last said of its engine to a request of one rank."""
 
     room: int = 0
     wait_s: float = 0.0
@@ -39,7 +39,7 @@
         self._clock = clk
         self._records: dict[str, endpoints.EndpointRecord] = {}
         self._engines: dict[str, engine.Engine] = {}
-        self._hints: dict[str, Hint] = {}
+        self._hints: dict[tuple[str, int], Hint] = {}
         self._suspects: dict[str, float] = {}
         self._watchers: list[Callable[[], None]] = []
 
@@ -50,7 +50,9 @@
             if fresh.get(name) != record:
                 self._engines.pop(name, None)
         self._records = fresh
-        self._hints = {k: v for k, v in self._hints.items() if k in fresh}
+        self._hints = {
+            key: hint for key, hint in self._hints.items() if key[0] in fresh
+        }
 
     def record(self, name: str) -> endpoints.EndpointRecord | None:
         """Returns an endpoint's record."""
@@ -93,13 +95,14 @@
 
     # What was learnt
 
-    def hint(self, name: str) -> Hint:
-        """Returns what the engine's owner last said."""
-        return self._hints.get(name, Hint())
+    def hint(self, name: str, rank: int) -> Hint:
+        """Returns what the engine's owner last said to a rank."""
+        return self._hints.get((name, int(rank)), Hint())
 
-    def learn(self, name: str, room: int, wait_s: float) -> None:
-        """Keeps what the engine's owner said."""
-        self._hints[name] = Hint(room, wait_s, self._clock.monotonic())
+    def learn(self, name: str, rank: int, room: int, wait_s: float) -> None:
+        """Keeps what the engine's owner said to a request of a rank."""
+        hint = Hint(room, wait_s, self._clock.monotonic())
+        self._hints[(name, int(rank))] = hint
 
     def suspect(self, name: str) -> None:
         """Avoids an endpoint that did not answer, for a while."""
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -28,6 +28,12 @@
     report: endpoints.LoadReport
 
 
+@attrs.frozen
+class _Asker:
+    fut: asyncio.Future
+    rank: int
+
+
 @attrs.frozen
 class _Tick:
     pass
@@ -57,7 +63,7 @@
         self._defaults = defaults
         self._clock = clk
         self._ledgers: dict[str, ledger.SlotLedger] = {}
-        self._waiting: dict[tuple[str, bytes], asyncio.Future] = {}
+        self._waiting: dict[tuple[str, bytes], _Asker] = {}
         network.handle(peers.SlotRequest, self._on_request)
         network.handle(peers.SlotRelease, self._on_release)
 
@@ -109,7 +115,8 @@
         if book is None:
             fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
             return fut
-        self._waiting[(message.engine, message.request_id)] = fut
+        key = (message.engine, message.request_id)
+        self._waiting[key] = _Asker(fut, message.rank)
         ask = ledger.SlotAsk(
             message.request_id,
             message.rank,
@@ -171,7 +178,7 @@
         if self._ledgers.pop(engine, None) is None:
             return
         for key in [key for key in self._waiting if key[0] == engine]:
-            fut = self._waiting.pop(key)
+            fut = self._waiting.pop(key).fut
             if not fut.done():
                 fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
 
@@ -192,20 +199,20 @@
     ) -> None:
         book = self._ledgers[engine]
         for action in actions:
-            fut = self._waiting.pop((engine, action.request_id), None)
-            if fut is None or fut.done():
+            asker = self._waiting.pop((engine, action.request_id), None)
+            if asker is None or asker.fut.done():
                 continue
-            fut.set_result(_answer(book, action, now))
+            asker.fut.set_result(_answer(book, action, asker.rank, now))
 
 
 def _answer(
-    book: ledger.SlotLedger, action: ledger.Action, now: float
+    book: ledger.SlotLedger, action: ledger.Action, rank: int, now: float
 ) -> peers.SlotAnswer:
     granted = isinstance(action, ledger.Granted)
     return peers.SlotAnswer(
         granted=granted,
         reason="" if granted else action.reason.value,
-        room=book.room(now),
-        wait_s=book.wait_estimate(ledger.URGENT, now),
+        room=book.room(rank, now),
+        wait_s=book.wait_estimate(rank, now),
         delay_s=action.delay_s if granted else 0.0,
     )
--- a/packages/seam_node/seam_node/controllers/planner.py
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -85,7 +85,7 @@
             self._kv_bytes(req.model),
         )
         candidates = [
-            self._decode_candidate(record)
+            self._decode_candidate(record, req.rank)
             for record in self._directory.engines(
                 endpoints.EngineRole.DECODE, req.model, req.adapter
             )
@@ -173,10 +173,10 @@
         return choices[0].lead_s if choices else 0.0
 
     def _decode_candidate(
-        self, record: endpoints.EndpointRecord
+        self, record: endpoints.EndpointRecord, rank: int
     ) -> placement.DecodeCandidate:
         now = self._clock.monotonic()
-        hint = self._directory.hint(record.name)
+        hint = self._directory.hint(record.name, rank)
         load = self._loads.get(record.name, _Load())
         link_s = self._distances.one_way_s(
             self._data_centre, record.data_centre
--- /dev/null
+++ b/packages/seam_node/seam_node/controllers/slots.py
@@ -0,0 +1,121 @@
+"""Asks the owners of decode engines for slots and gives slots back."""
+
+import asyncio
+
+import attrs
+import expression
+
+from seam_model import endpoints
+from seam_model import errors
+from seam_model import ids
+from seam_model import peers
+from seam_model import requests
+from seam_node.controllers import engines
+from seam_node.controllers import ownership
+from seam_node.controllers import planner
+from seam_node.controllers import runs
+from seam_node.ports import peer
+
+ANSWER_MARGIN_S = 0.25
+MICROS_PER_S = 1e6
+
+
+@attrs.frozen
+class Slot:
+    """A decode slot that a request holds."""
+
+    engine: str
+    owner: str
+    """Instance that granted the slot; empty without a reservation."""
+    delay_s: float = 0.0
+    """Expected time from the grant until the slot is free."""
+
+
+@attrs.frozen
+class Use:
+    """What the owner learns from a run that gives its slot back."""
+
+    tokens: int = 0
+    per_token_s: float = 0.0
+    failed: bool = False
+
+
+class SlotClient:
+    """Exchanges the slot messages with the engines' owners."""
+
+    def __init__(
+        self,
+        directory: engines.EngineDirectory,
+        owners: ownership.Ownership,
+        network: peer.PeerNetwork,
+    ):
+        """Takes the engines, their owners and the peers."""
+        self._directory = directory
+        self._ownership = owners
+        self._network = network
+
+    def held(self, engine: str) -> Slot:
+        """Returns the slot of a stream that runs at an engine."""
+        return Slot(engine, self._ownership.owner_of(engine) or "")
+
+    async def ask(
+        self,
+        run: runs.Run,
+        req: requests.GenerateRequest,
+        choice: planner.DecodeChoice,
+        wait_s: float,
+    ) -> expression.Result[Slot, errors.SeamError]:
+        """Asks for a slot and waits up to `wait_s` for it.
+
+        Errors: `Overloaded`, `Cancelled`, `NoEndpoint`, and those of the link.
+        """
+        owner = self._ownership.owner_of(choice.name)
+        if owner is None:
+            error = errors.NoEndpoint(f"owner of {choice.name}")
+            return expression.Error(error)
+        message = _message(req, choice, wait_s)
+        asked = asyncio.ensure_future(
+            self._network.request(owner, message, wait_s + ANSWER_MARGIN_S)
+        )
+        answered = await runs.until_stopped(run, asyncio.shield(asked))
+        if answered is None:
+            self.release(req.request_id, Slot(choice.name, owner), Use())
+            return expression.Error(errors.Cancelled(run.stop.value))
+        if answered.is_error():
+            if isinstance(answered.error, errors.PeerTimeout):
+                self.release(req.request_id, Slot(choice.name, owner), Use())
+            return answered
+        answer: peers.SlotAnswer = answered.ok
+        self._directory.learn(choice.name, req.rank, answer.room, answer.wait_s)
+        if not answer.granted:
+            return expression.Error(errors.Overloaded(answer.reason))
+        return expression.Ok(Slot(choice.name, owner, answer.delay_s))
+
+    def release(self, request_id: str, slot: Slot, use: Use) -> None:
+        """Gives a slot back, or withdraws the ask for it."""
+        if not slot.owner:
+            return
+        message = peers.SlotRelease(
+            ids.pack(request_id),
+            slot.engine,
+            use.tokens,
+            int(use.per_token_s * MICROS_PER_S),
+            use.failed,
+        )
+        self._network.notify(slot.owner, message)
+
+
+def _message(
+    req: requests.GenerateRequest, choice: planner.DecodeChoice, wait_s: float
+) -> peers.SlotRequest:
+    tokens = req.prompt_tokens + req.max_tokens
+    return peers.SlotRequest(
+        request_id=ids.pack(req.request_id),
+        engine=choice.name,
+        rank=int(req.rank),
+        workspace=req.workspace,
+        wait_s=wait_s,
+        kv_blocks=-(-tokens // endpoints.KV_BLOCK_TOKENS),
+        tokens=req.max_tokens,
+        lead_s=choice.lead_s,
+    )
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -1,31 +1,19 @@
 """Reserves a decode slot at the owner of a promising decode engine."""
 
-import asyncio
+import expression
 
-import attrs
-
-from seam_model import endpoints
 from seam_model import errors
-from seam_model import ids
-from seam_model import peers
 from seam_node.controllers import engines
-from seam_node.controllers import ownership
 from seam_node.controllers import planner
-from seam_node.controllers import runs
+from seam_node.controllers import slots
 from seam_node.filters import base
-from seam_node.ports import peer
 
-CANDIDATES = 2
-ANSWER_MARGIN_S = 0.25
+CANDIDATES = 3
+"""Engines that are asked for a slot that is free at once."""
 FIRST_TOKEN_MARGIN_S = 0.05
 """Time kept for the first decode step and the way to the caller."""
 
-
-@attrs.define
-class _Slot:
-    engine: str
-    owner: str
-    """Instance that granted the slot; empty without a reservation."""
+_SlotResult = expression.Result[slots.Slot, errors.SeamError]
 
 
 class PlaceFilter(base.Filter):
@@ -36,14 +24,12 @@
     def __init__(
         self,
         directory: engines.EngineDirectory,
-        owners: ownership.Ownership,
-        network: peer.PeerNetwork,
+        client: slots.SlotClient,
         plan: planner.Planner,
     ):
-        """Takes the engines, their owners, the peers and the planner."""
+        """Takes the engines, the way to their slots and the planner."""
         self._directory = directory
-        self._ownership = owners
-        self._network = network
+        self._slots = client
         self._planner = plan
 
     async def apply(
@@ -52,13 +38,15 @@
         """Reserves a slot, passes on, and releases the slot."""
         if ctx.stream is not None:
             return await self._held(ctx, proceed)
-        slot = await self._reserve(ctx)
-        if isinstance(slot, errors.SeamError):
-            return base.fail(slot)
+        reserved = await self._reserve(ctx)
+        if reserved.is_error():
+            return base.fail(reserved.error)
+        slot = reserved.ok
         ctx.decode = self._directory.record(slot.engine)
         if ctx.decode is None:
             self._release(ctx, slot, failed=True)
             return base.fail(errors.NoEndpoint(slot.engine))
+        ctx.slot_free_at = ctx.now() + slot.delay_s
         ctx.note(self.name, f"decode engine {slot.engine}")
         failed = True
         try:
@@ -72,70 +60,50 @@
         self, ctx: base.Context, proceed: base.Proceed
     ) -> base.Result:
         """Passes on a stream that was taken over, and frees its slot."""
-        name = ctx.run.engine
-        owner = self._ownership.owner_of(name) or ""
+        slot = self._slots.held(ctx.run.engine)
         result = await proceed(ctx)
-        self._release(ctx, _Slot(name, owner), result.is_error())
+        self._release(ctx, slot, result.is_error())
         return result
 
-    async def _reserve(self, ctx: base.Context) -> _Slot | errors.SeamError:
+    async def _reserve(self, ctx: base.Context) -> _SlotResult:
         order = self._planner.decode_order(ctx.generate, ctx.excluded)
         if not order:
-            return errors.NoEndpoint(f"decode engine for {ctx.generate.model}")
+            wanted = f"decode engine for {ctx.generate.model}"
+            return expression.Error(errors.NoEndpoint(wanted))
         if not self._planner.reserves:
-            return _Slot(order[0].name, "")
-        last: errors.SeamError = errors.Overloaded("no decode slot in time")
-        for candidate in order[:CANDIDATES]:
-            owner = self._ownership.owner_of(candidate.name)
-            if owner is None:
-                last = errors.NoEndpoint(f"owner of {candidate.name}")
+            return expression.Ok(slots.Slot(order[0].name, ""))
+        return await self._reserve_soonest(ctx, order[:CANDIDATES])
+
+    async def _reserve_soonest(
+        self, ctx: base.Context, choices: list[planner.DecodeChoice]
+    ) -> _SlotResult:
+        """Takes a slot that is free, else waits where the wait is shortest."""
+        asked = []
+        result = expression.Error(errors.Overloaded("no decode slot in time"))
+        for choice in choices:
+            if self._wait_limit(ctx, choice) < 0:
                 continue
-            answer = await self._ask(ctx, candidate, owner)
-            if isinstance(answer, _Slot):
-                return answer
-            last = answer
-            if ctx.run.stop is not None:
-                return errors.Cancelled(ctx.run.stop.value)
-        return last
+            result = await self._ask(ctx, choice, 0.0)
+            if result.is_ok() or ctx.run.stop is not None:
+                return result
+            if isinstance(result.error, errors.Overloaded):
+                asked.append(choice)
+        if not asked:
+            return result
+        rank = ctx.generate.rank
+        best = min(
+            asked,
+            key=lambda each: self._directory.hint(each.name, rank).wait_s,
+        )
+        limit_s = self._wait_limit(ctx, best)
+        if limit_s <= 0:
+            return result
+        return await self._ask(ctx, best, limit_s)
 
     async def _ask(
-        self, ctx: base.Context, candidate: planner.DecodeChoice, owner: str
-    ) -> _Slot | errors.SeamError:
-        req = ctx.generate
-        wait_s = self._wait_limit(ctx, candidate)
-        if wait_s < 0:
-            return errors.Overloaded("first token target cannot be met")
-        blocks = -(
-            -(req.prompt_tokens + req.max_tokens) // endpoints.KV_BLOCK_TOKENS
-        )
-        message = peers.SlotRequest(
-            ids.pack(req.request_id),
-            candidate.name,
-            int(req.rank),
-            req.workspace,
-            wait_s,
-            blocks,
-            req.max_tokens,
-            candidate.lead_s,
-        )
-        asked = asyncio.ensure_future(
-            self._network.request(owner, message, wait_s + ANSWER_MARGIN_S)
-        )
-        answered = await runs.until_stopped(ctx.run, asyncio.shield(asked))
-        if answered is None:
-            slot = _Slot(candidate.name, owner)
-            self._release(ctx, slot, failed=False)
-            return errors.Cancelled("caller")
-        if answered.is_error():
-            if isinstance(answered.error, errors.PeerTimeout):
-                self._release(ctx, _Slot(candidate.name, owner), failed=False)
-            return answered.error
-        answer: peers.SlotAnswer = answered.ok
-        self._directory.learn(candidate.name, answer.room, answer.wait_s)
-        if not answer.granted:
-            return errors.Overloaded(answer.reason)
-        ctx.slot_free_at = ctx.now() + answer.delay_s
-        return _Slot(candidate.name, owner)
+        self, ctx: base.Context, choice: planner.DecodeChoice, wait_s: float
+    ) -> _SlotResult:
+        return await self._slots.ask(ctx.run, ctx.generate, choice, wait_s)
 
     def _wait_limit(
         self, ctx: base.Context, choice: planner.DecodeChoice
@@ -145,20 +113,11 @@
         target_s = ctx.generate.targets.first_token_s
         return target_s - waited_s - choice.lead_s - FIRST_TOKEN_MARGIN_S
 
-    def _release(self, ctx: base.Context, slot: _Slot, failed: bool) -> None:
-        if not slot.owner:
-            return
-        per_token_us = 0
+    def _release(
+        self, ctx: base.Context, slot: slots.Slot, failed: bool
+    ) -> None:
+        per_token_s = 0.0
         if ctx.first_token_at is not None and ctx.tokens > 1:
-            span_s = ctx.now() - ctx.first_token_at
-            per_token_us = int(span_s / ctx.tokens * 1e6)
-        self._network.notify(
-            slot.owner,
-            peers.SlotRelease(
-                ids.pack(ctx.run.request_id),
-                slot.engine,
-                ctx.tokens,
-                per_token_us,
-                failed,
-            ),
-        )
+            per_token_s = (ctx.now() - ctx.first_token_at) / ctx.tokens
+        use = slots.Use(ctx.tokens, per_token_s, failed)
+        self._slots.release(ctx.run.request_id, slot, use)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -30,6 +30,7 @@
 from seam_node.controllers import reaper
 from seam_node.controllers import registry
 from seam_node.controllers import runs
+from seam_node.controllers import slots
 from seam_node.filters import account
 from seam_node.filters import base
 from seam_node.filters import call
@@ -320,8 +321,9 @@
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
-                self.ownership,
-                self.ports.peers,
+                slots.SlotClient(
+                    self.directory, self.ownership, self.ports.peers
+                ),
                 self.planner,
             ),
             transfer.TransferFilter(
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -188,12 +188,15 @@
         """Tells whether a request holds a slot."""
         return request_id in self._runs
 
-    def room(self, now: float) -> int:
-        """Returns the free slots that an urgent ask could have."""
+    def room(self, rank: int, now: float) -> int:
+        """Returns the free slots that an ask of a rank could have."""
         if self._kv_free(now) <= 0:
             return 0
-        free = self._slots_free(now) - len(self._queues[URGENT])
-        return max(0, free)
+        free = self._slots_free(now) - self._headroom(rank, now)
+        ahead = len(self._queues[URGENT])
+        if rank == OTHER:
+            ahead += len(self._queues[OTHER])
+        return max(0, free - ahead)
 
     def wait_estimate(self, rank: int, now: float) -> float:
         """Returns the estimated wait of an ask that comes now, in seconds."""
--- a/packages/seam_policy/seam_policy/placement.py
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -31,7 +31,7 @@
     """Free slots that the owner last told of."""
     room_age_s: float = math.inf
     wait_s: float = 0.0
-    """Wait for an urgent slot that the owner last told of."""
+    """Wait for a slot that the owner last told of."""
     running: int = 0
     """Streams by the engine's lagging load report."""
     report_age_s: float = math.inf
--- a/tests/seam_policy/test_ledger.py
+++ b/tests/seam_policy/test_ledger.py
@@ -174,7 +174,7 @@
 def test_foreign_streams_use_slots_and_kv():
     book = ledger.SlotLedger(ledger.LedgerLimits(slots=4, kv_blocks=40))
     book.observe(3, 10, 0.0)
-    assert book.room(0.0) == 1
+    assert book.room(ledger.URGENT, 0.0) == 1
     assert _granted(book.ask(_ask(0, kv_blocks=11), 0.0)) == []
 
 
@@ -186,7 +186,11 @@
     assert book.adopt(ident, ledger.URGENT, 1, 1.0) == [
         ledger.Granted(ident, 0.0)
     ]
-    assert (book.running, book.waiting, book.room(1.0)) == (2, 0, 0)
+    assert (book.running, book.waiting, book.room(ledger.URGENT, 1.0)) == (
+        2,
+        0,
+        0,
+    )
     book.release(ident, 100, 0.03, False, 2.0)
     assert book.running == 1
 
@@ -208,7 +212,7 @@
     for per_token_s, rounds in ((0.2, 60), (0.01, 80)):
         for _ in range(rounds):
             now += 3.0
-            while book.room(now) > 0:
+            while book.room(ledger.URGENT, now) > 0:
                 number += 1
                 book.ask(_ask(number), now)
                 granted.append(_ask(number).request_id)
