Book prefills with the owners of prefill engines

Cause, by trace: prefills took up to 0.36 s where the lead said 0.1 s, because the queue of a prefill engine was known by load reports of 1 s and more, older than the queue lives; the first token came late. Ruled out: the decode pool (streams opened as soon as the KV was there in most). Now an instance tells the engine's owner of each prefill as it sends it, is told the wait, asks a second engine when there is one, and drops before the prefill what can't meet its first token any more. The owner follows the queue by the bookings alone. Two messages more for each request.

--- a/packages/seam_model/seam_model/codec.py
+++ b/packages/seam_model/seam_model/codec.py
@@ -42,6 +42,9 @@
         31: peers.RunQuery,
         32: peers.MirrorSync,
         33: peers.MirrorSyncAnswer,
+        50: peers.PrefillBook,
+        51: peers.PrefillBooked,
+        52: peers.PrefillWithdraw,
     }
 )
 _TAGS = {cls: tag for tag, cls in PEER_MESSAGES.items()}
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -195,6 +195,36 @@
     failed: bool
 
 
+# Prefills
+
+
+@attrs.frozen
+class PrefillBook:
+    """Tells a prefill engine's owner of a prefill that is about to be sent."""
+
+    request_id: bytes
+    engine: str
+    rank: int
+    work_s: float
+    """Time that the prefill takes without any wait."""
+
+
+@attrs.frozen
+class PrefillBooked:
+    """Answers a booking."""
+
+    wait_s: float
+    """Expected wait at the engine."""
+
+
+@attrs.frozen
+class PrefillWithdraw:
+    """Takes back a booking whose prefill is not sent."""
+
+    request_id: bytes
+    engine: str
+
+
 # Orders
 
 
--- a/packages/seam_node/seam_node/controllers/planner.py
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -35,6 +35,25 @@
     at: float = float("-inf")
 
 
+class _Waits:
+    """Waits at a prefill engine that its owner told of."""
+
+    def __init__(self) -> None:
+        self._mean = estimate.Ewma(0.0)
+        self._last_s = 0.0
+        self._at = float("-inf")
+
+    def add(self, wait_s: float, now: float) -> None:
+        """Takes an answer."""
+        self._mean.add(wait_s)
+        self._last_s = wait_s
+        self._at = now
+
+    def expected_s(self, now: float) -> float:
+        """Returns the wait to expect: what is left of the last, or the mean."""
+        return max(self._last_s - (now - self._at), self._mean.value)
+
+
 class Planner:
     """Orders decode engines and chooses prefill engines for requests.
 
@@ -62,6 +81,7 @@
         self._loads: dict[str, _Load] = {}
         self._sent_tokens: dict[str, int] = {}
         self._transfers: dict[str, int] = {}
+        self._waits: dict[tuple[str, int], _Waits] = {}
         self._rates: dict[str, estimate.PeakRate] = {}
         self.prefixes = prefix.PrefixIndex()
 
@@ -147,6 +167,11 @@
         rate = self._rates.setdefault(name, initial)
         rate.add(computed, took_s)
 
+    def booked(self, name: str, rank: int, wait_s: float) -> None:
+        """Learns the wait that a prefill engine's owner told of."""
+        waits = self._waits.setdefault((name, int(rank)), _Waits())
+        waits.add(wait_s, self._clock.monotonic())
+
     def transfer_started(self, name: str) -> None:
         """Counts a transfer out of a prefill engine."""
         self._transfers[name] = self._transfers.get(name, 0) + 1
@@ -203,11 +228,10 @@
         req: requests.GenerateRequest,
         hashes: tuple[int, ...],
     ) -> placement.PrefillCandidate:
-        load = self._loads.get(record.name, _Load())
-        sent = self._sent_tokens.get(record.name, 0)
         target = self._directory.record(decode)
         there = target.data_centre if target else self._data_centre
         rate = self._rates.get(record.name)
+        speed = rate.rate if rate else PREFILL_TOKENS_PER_S
         return placement.PrefillCandidate(
             name=record.name,
             models=record.models,
@@ -215,9 +239,17 @@
             prefix_tokens=self.prefixes.expected_tokens(
                 record.name, hashes, req.prompt_tokens
             ),
-            backlog_tokens=max(sent, load.queued_tokens),
-            tokens_s=rate.rate if rate else PREFILL_TOKENS_PER_S,
+            backlog_tokens=self._backlog_tokens(record.name, req.rank, speed),
+            tokens_s=speed,
             link_bytes_s=self._distances.link_bytes_per_s,
             link_transfers=self._transfers.get(record.name, 0),
             link_s=self._distances.one_way_s(record.data_centre, there),
         )
+
+    def _backlog_tokens(self, name: str, rank: int, tokens_s: float) -> int:
+        waits = self._waits.get((name, int(rank)))
+        if waits is not None:
+            wait_s = waits.expected_s(self._clock.monotonic())
+            return int(wait_s * tokens_s)
+        load = self._loads.get(name, _Load())
+        return max(self._sent_tokens.get(name, 0), load.queued_tokens)
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -11,6 +11,7 @@
 from seam_model import ids
 from seam_node import metrics
 from seam_node import task
+from seam_node.controllers import bookings
 from seam_node.controllers import engines
 from seam_node.controllers import planner
 from seam_node.controllers import registry
@@ -22,6 +23,8 @@
 DECODE_TIMEOUT_S = 2.0
 KV_RETRY_MARGIN_S = 0.1
 """Life that a KV cache must have left for a second transfer."""
+FIRST_STEP_S = 0.03
+"""Time kept for the first decode step."""
 FULL_PAUSE_S = 0.025
 """Pause before an engine that was full is tried again with the same KV."""
 
@@ -43,13 +46,15 @@
         self,
         directory: engines.EngineDirectory,
         plan: planner.Planner,
+        booking: bookings.BookingClient,
         registry_: registry.Registry,
         meter: metrics.Metrics,
         owner: str,
     ):
-        """Takes the engines, the planner, the registry and our own name."""
+        """Takes the engines, who plans and books, and our own name."""
         self._directory = directory
         self._planner = plan
+        self._bookings = booking
         self._registry = registry_
         self._metrics = meter
         self._owner = owner
@@ -70,6 +75,7 @@
         if opened.is_error():
             self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
             return base.fail(opened.error)
+        ctx.note(self.name, "stream open")
         ctx.stream = opened.ok
         ctx.run.stream = opened.ok
         try:
@@ -89,8 +95,16 @@
             return expression.Error(
                 errors.NoEndpoint(f"prefill engine for {req.model}")
             )
-        name = choices[0].name
-        ctx.note(self.name, f"prefill engine {name}")
+        if self._planner.reserves:
+            booked = await self._bookings.book(req, choices)
+            if ctx.run.stop is not None or not _is_in_time(ctx, booked):
+                self._bookings.withdraw(req, booked.choice.name)
+                return expression.Error(_not_sent(ctx))
+            name = booked.choice.name
+            ready_s = booked.ready_s
+        else:
+            name, ready_s = choices[0].name, choices[0].lead_s
+        ctx.note(self.name, f"prefill engine {name}, ready in {ready_s:.3f} s")
         order = endpoints.PrefillOrder(
             req.request_id,
             ctx.run.incarnation,
@@ -120,6 +134,7 @@
         self._planner.prefilled(
             name, req, done.ok.cached_tokens, ctx.now() - started_at
         )
+        ctx.note(self.name, "prefilled")
         record = self._directory.record(name)
         return expression.Ok(
             _Prefilled(
@@ -227,6 +242,19 @@
             )
 
 
+def _is_in_time(ctx: base.Context, booked: bookings.Booked) -> bool:
+    """Tells whether the first token can still meet its target."""
+    waited_s = ctx.now() - ctx.arrived_at
+    left_s = ctx.generate.targets.first_token_s - waited_s
+    return booked.ready_s + FIRST_STEP_S <= left_s
+
+
+def _not_sent(ctx: base.Context) -> errors.SeamError:
+    if ctx.run.stop is not None:
+        return errors.Cancelled(ctx.run.stop.value)
+    return errors.Overloaded("prefill queue is too long")
+
+
 def _close_stream(decode: asyncio.Future[Any]) -> None:
     if decode.cancelled() or decode.exception() or decode.result().is_error():
         return
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -15,6 +15,7 @@
 from seam_node import entry
 from seam_node import logs
 from seam_node import metrics
+from seam_node.controllers import bookings
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -272,6 +273,9 @@
             self._defaults,
             self.ports.clock,
         )
+        self.bookings = bookings.BookingOwner(
+            self.ports.peers, self.ports.clock
+        )
         self.watch = engine_watch.EngineWatch(
             self.record.name,
             self.record.data_centre,
@@ -329,6 +333,9 @@
             transfer.TransferFilter(
                 self.directory,
                 self.planner,
+                bookings.BookingClient(
+                    self.ownership, self.ports.peers, self.planner
+                ),
                 self.registry,
                 self.metrics,
                 self.owner_id,
--- a/packages/seam_policy/seam_policy/placement.py
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -264,7 +264,10 @@
 
     name: str
     prefill_s: float
+    """Time from the order to the end of the prefill, with its wait."""
     transfer_s: float
+    work_s: float = 0.0
+    """Time that the prefill alone takes."""
 
     @property
     def lead_s(self) -> float:
@@ -286,9 +289,14 @@
 
 def prefill_time(need: PrefillNeed, candidate: PrefillCandidate) -> float:
     """Returns the expected seconds until the prefill has ended."""
+    backlog_s = max(0, candidate.backlog_tokens) / max(1.0, candidate.tokens_s)
+    return backlog_s + work_time(need, candidate)
+
+
+def work_time(need: PrefillNeed, candidate: PrefillCandidate) -> float:
+    """Returns the expected seconds of the prefill without any wait."""
     uncached = max(1, need.prompt_tokens - candidate.prefix_tokens)
-    work = uncached + max(0, candidate.backlog_tokens)
-    return work / max(1.0, candidate.tokens_s)
+    return uncached / max(1.0, candidate.tokens_s)
 
 
 def choose_prefill(
@@ -310,7 +318,8 @@
         if transfer_s > candidate.kv_life_s * KV_LIFE_SHARE:
             continue
         prefill_s = prefill_time(need, candidate)
-        choice = PrefillChoice(candidate.name, prefill_s, transfer_s)
+        work_s = work_time(need, candidate)
+        choice = PrefillChoice(candidate.name, prefill_s, transfer_s, work_s)
         tie = _unit(request_hash, candidate.name)
         found.append((choice.lead_s, tie, choice))
     found.sort(key=lambda entry: entry[:2])
