--- a/packages/seam_node/seam_node/controllers/slots.py
+++ b/packages/seam_node/seam_node/controllers/slots.py
@@ -80,7 +80,7 @@
         answered = await runs.until_stopped(run, asyncio.shield(asked))
         if answered is None:
             self.release(req.request_id, Slot(choice.name, owner), Use())
-            return expression.Error(errors.Cancelled(run.stop.value))
+            return expression.Error(runs.stop_error(run, "place"))
         if answered.is_error():
             if isinstance(answered.error, errors.PeerTimeout):
                 self.release(req.request_id, Slot(choice.name, owner), Use())
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -26,7 +26,10 @@
 
     @abc.abstractmethod
     async def write(self, data: bytes) -> bool:
-        """Sends bytes of a stream; False once the caller is gone."""
+        """Sends bytes of a stream; False once the caller is gone.
+
+        The callback of `on_gone` was called before False is returned.
+        """
 
     @abc.abstractmethod
     def gone(self) -> bool:
@@ -92,6 +95,13 @@
         return self.arrived_at + req.deadline_s - self.now()
 
 
+def make_context(
+    raw: RawRequest, sink: Sink, now: Callable[[], float]
+) -> Context:
+    """Returns the context of a request that arrives now."""
+    return Context(raw, sink, now(), runs.Trace(""), now)
+
+
 class Filter(abc.ABC):
     """One step that every request of a kind passes."""
 
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -146,18 +146,22 @@
         self._queues = tuple(
             fair.FairQueue[_Waiting](limits.weights) for _ in _RANKS
         )
-        self._limit = concurrency.AdaptiveLimit(
-            limits.slots,
-            limits.min_slots,
-            limits.per_token_target_s,
-            limits.adapt_interval_s,
-        )
+        self._limit = _adaptive_limit(limits)
         self._limit.per_token.value = limits.per_token_s
         self._token_ratio = estimate.Ewma(1.0)
         self._typical_tokens = estimate.Ewma(256.0)
         self._urgent_rate = estimate.ArrivalRate(_RATE_WINDOW_S)
         self._reports = reconcile.Reconciler()
 
+    def configure(self, limits: LedgerLimits) -> None:
+        """Puts new limits in force; grants that are held stay held."""
+        if limits == self.limits:
+            return
+        per_token = self._limit.per_token
+        self.limits = limits
+        self._limit = _adaptive_limit(limits)
+        self._limit.per_token = per_token
+
     # Views
 
     @property
@@ -180,10 +184,18 @@
         """Asks that have no answer yet."""
         return len(self._waiting)
 
+    def waiting_of(self, rank: int) -> int:
+        """Returns the asks of a rank that have no answer yet."""
+        return len(self._queues[rank])
+
     def held_by(self, rank: int) -> int:
         """Returns the grants that a rank holds."""
         return self._held[rank]
 
+    def held_ids(self, rank: int) -> list[bytes]:
+        """Returns the ids of the grants that a rank holds."""
+        return [key for key, run in self._runs.items() if run.rank == rank]
+
     def holds(self, request_id: bytes) -> bool:
         """Tells whether a request holds a slot."""
         return request_id in self._runs
@@ -598,3 +610,12 @@
         self._typical_tokens.add(float(tokens))
         if not run.adopted and run.tokens > 0:
             self._token_ratio.add(tokens / run.tokens)
+
+
+def _adaptive_limit(limits: LedgerLimits) -> concurrency.AdaptiveLimit:
+    return concurrency.AdaptiveLimit(
+        limits.slots,
+        limits.min_slots,
+        limits.per_token_target_s,
+        limits.adapt_interval_s,
+    )
