--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -20,6 +20,7 @@
 from seam_node import metrics
 from seam_node import status
 from seam_node.adapters import platform_meter
+from seam_node.controllers import bookings
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -41,6 +42,7 @@
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
 from seam_node.controllers import service_gate
+from seam_node.controllers import slots
 from seam_node.filters import account
 from seam_node.filters import admit
 from seam_node.filters import base
@@ -342,6 +344,9 @@
             self._engine_defaults,
             self.ports.clock,
         )
+        self.bookings = bookings.BookingOwner(
+            self.ports.peers, self.ports.clock
+        )
         self.watch = engine_watch.EngineWatch(
             self.record.name,
             self.record.data_centre,
@@ -442,13 +447,17 @@
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
-                self.ownership,
-                self.ports.peers,
+                slots.SlotClient(
+                    self.directory, self.ownership, self.ports.peers
+                ),
                 self.planner,
             ),
             transfer.TransferFilter(
                 self.directory,
                 self.planner,
+                bookings.BookingClient(
+                    self.ownership, self.ports.peers, self.planner
+                ),
                 self.registry,
                 self.metrics,
                 self.owner_id,
