Replace silent connections to platform and engines sooner

Cause: a watch lasted 20 s plus the call's time limit of 2 s, so with all platform links gone silent a new configuration came after some 20 s (bound: 4 s). After one timeout libcurl took the next resting connection, silent too. Ruled out: the relay (new connections work at once); TCP keepalive would not see a middle that still acknowledges.

--- a/packages/seam_node/seam_node/adapters/curl.py
+++ b/packages/seam_node/seam_node/adapters/curl.py
@@ -1,5 +1,7 @@
 """The curl client that the HTTP adapters share."""
 
+import asyncio
+
 import attrs
 import pycurl
 from tornado import curl_httpclient
@@ -7,6 +9,8 @@
 
 MAX_CONNECTIONS = 4096
 CONNECT_TIMEOUT_S = 2.0
+MAX_IDLE_S = 10
+"""How long a kept connection may rest and still be used again."""
 
 _NO_ANSWER_STATUS = 599
 """Tornado's own code for a missing answer; no endpoint sends it."""
@@ -36,11 +40,40 @@
     )
 
 
+class KeptConnections:
+    """Decides whether calls to one address may use kept connections.
+
+    A call that timed out may have met a connection that has gone silent, and
+    others of the same age may be silent too. So new ones are opened until
+    every one that rested then is too old to be used again.
+    """
+
+    def __init__(self) -> None:
+        """Starts with every connection trusted."""
+        self._fresh_until = float("-inf")
+
+    def note_timeout(self) -> None:
+        """Records that a call was not answered in time."""
+        now = asyncio.get_running_loop().time()
+        self._fresh_until = now + MAX_IDLE_S
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Sets the options of one call."""
+        now = asyncio.get_running_loop().time()
+        curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
+        curl.setopt(pycurl.FRESH_CONNECT, int(now < self._fresh_until))
+
+
 def _use_fresh_connection(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
+def timed_out(exc: BaseException | None) -> bool:
+    """Tells whether a failed exchange waited in vain."""
+    return getattr(exc, "errno", None) == pycurl.E_OPERATION_TIMEDOUT
+
+
 def was_sent(exc: BaseException) -> bool:
     """Tells whether a failed exchange may have reached the endpoint."""
     errno = getattr(exc, "errno", None)
@@ -55,6 +88,7 @@
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     once: bool = False,
+    kept: KeptConnections | None = None,
 ) -> Answer:
     """Sends one request and waits for the whole answer.
 
@@ -64,6 +98,7 @@
     """
     if body is None and method in ("POST", "PUT"):
         body = b""
+    prepare = kept.prepare if kept is not None else None
     req = httpclient.HTTPRequest(
         url,
         method=method,
@@ -73,11 +108,13 @@
         request_timeout=timeout_s,
         follow_redirects=False,
         allow_nonstandard_methods=True,
-        prepare_curl_callback=_use_fresh_connection if once else None,
+        prepare_curl_callback=_use_fresh_connection if once else prepare,
     )
     try:
         resp = await client.fetch(req, raise_error=False)
     except (OSError, httpclient.HTTPError) as exc:
+        if kept is not None and timed_out(exc):
+            kept.note_timeout()
         return Answer(0, b"", sent=was_sent(exc))
     if resp.code == _NO_ANSWER_STATUS:
         connected = resp.time_info.get("pretransfer", 0.0) > 0.0
--- a/packages/seam_node/seam_node/adapters/engine_http.py
+++ b/packages/seam_node/seam_node/adapters/engine_http.py
@@ -54,6 +54,7 @@
         self._url = record.url
         self._client = client
         self._silence_s = silence_s
+        self._kept = curl.KeptConnections()
 
     async def prefill(
         self, order: endpoints.PrefillOrder, timeout_s: float
@@ -119,7 +120,13 @@
     ) -> curl.Answer:
         url = urllib.parse.urljoin(self._url, path)
         return await curl.exchange(
-            self._client, method, url, timeout_s, body, _JSON_HEADERS
+            self._client,
+            method,
+            url,
+            timeout_s,
+            body,
+            _JSON_HEADERS,
+            kept=self._kept,
         )
 
     def _checked(
@@ -147,7 +154,9 @@
     async def _open(
         self, path: str, body: bytes, timeout_s: float
     ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
-        stream = engine_stream.CurlDecodeStream(self._name, self._silence_s)
+        stream = engine_stream.CurlDecodeStream(
+            self._name, self._silence_s, self._kept
+        )
         url = urllib.parse.urljoin(self._url, path)
         head = await stream.open(self._client, url, body, timeout_s)
         if head.status == 200:
--- a/packages/seam_node/seam_node/adapters/engine_stream.py
+++ b/packages/seam_node/seam_node/adapters/engine_stream.py
@@ -56,8 +56,14 @@
     parsed by the reader's own task.
     """
 
-    def __init__(self, endpoint: str, silence_s: float):
+    def __init__(
+        self,
+        endpoint: str,
+        silence_s: float,
+        kept: curl_adapter.KeptConnections,
+    ):
         """Names the endpoint and the longest allowed gap, in seconds."""
+        self._kept = kept
         self._endpoint = endpoint
         self._silence_s = silence_s
         self._buffer = bytearray()
@@ -107,6 +113,8 @@
             if self._ended or self._closed:
                 return expression.Error(errors.EndpointLost(self._endpoint))
             if not await self._wait():
+                if not self._closed:
+                    self._kept.note_timeout()
                 self._abort()
                 return expression.Error(errors.EndpointLost(self._endpoint))
 
@@ -154,6 +162,7 @@
 
     def _prepare(self, curl: pycurl.Curl) -> None:
         self._curl = curl
+        self._kept.prepare(curl)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
         curl.setopt(pycurl.NOPROGRESS, False)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
@@ -193,6 +202,7 @@
         self._notify(True)
 
     def _on_head_timeout(self) -> None:
+        self._kept.note_timeout()
         self._set_head(StreamHead(0))
         self._abort()
 
--- a/packages/seam_node/seam_node/adapters/platform_http.py
+++ b/packages/seam_node/seam_node/adapters/platform_http.py
@@ -18,9 +18,12 @@
 from seam_model import codec
 from seam_model import endpoints
 from seam_model import errors
+from seam_node.adapters import curl
 from seam_node.ports import platform
 
 MAX_CLIENTS = 512
+WATCH_MARGIN_S = 1.0
+"""How long after its end the answer of a watch may come."""
 NO_CONTENT = 204
 NOT_FOUND = 404
 CONFLICT = 409
@@ -56,6 +59,7 @@
         self._timeout_s = timeout_s
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._client: Any = None
+        self._kept = curl.KeptConnections()
 
     async def start(self) -> None:
         """Opens the client."""
@@ -156,6 +160,8 @@
                 self._request(call), raise_error=False
             )
         except (tornado.httpclient.HTTPError, OSError) as exc:
+            if curl.timed_out(exc):
+                self._kept.note_timeout()
             return expression.Error(_failure(call, exc))
         if resp.code == NOT_FOUND and call.operation in ("get", "watch"):
             return expression.Ok(resp)
@@ -167,14 +173,18 @@
         headers = dict(self._headers)
         if call.expected is not None:
             headers["If-Version"] = str(call.expected)
+        limit_s = self._timeout_s
+        if call.wait_s:
+            limit_s = call.wait_s + min(limit_s, WATCH_MARGIN_S)
         return tornado.httpclient.HTTPRequest(
             self._url + call.path,
             method=call.method,
             headers=headers,
             body=call.body,
             connect_timeout=self._timeout_s,
-            request_timeout=self._timeout_s + call.wait_s,
+            request_timeout=limit_s,
             follow_redirects=False,
+            prepare_curl_callback=self._kept.prepare,
         )
 
 
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -84,6 +84,20 @@
     raise AssertionError(f"never came: {what}")
 
 
+async def generate(user, url, body, answer=None):
+    """Sends a request, under a new id while it is refused as not run."""
+    answer = answer or caller.Answer(body["id"])
+    for _ in range(TRIES):
+        await user.generate(url, body, answer)
+        refusal = answer.refusal
+        if refusal is None or refusal["ran"] != "no":
+            return answer
+        body["id"] = answer.request_id = new_id()
+        answer.refusal, answer.status = None, 0
+        await asyncio.sleep(PAUSE_S)
+    raise AssertionError(f"always refused: {refusal}")
+
+
 async def resume(user, urls, body, answer):
     """Resumes at each URL in turn until the answer is whole."""
     for number in range(TRIES):
