Answer bodies that are too large or too slow by type

Cause: tornado itself answered them, with a bare 400 or a closed connection, past the filters that count and log; unknown paths got HTML. A first try refused at the announced length and closed: the unread bytes reset the connection and the answer was lost (status 0), so a body of up to twice the limit is now read and dropped first.

--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -245,6 +245,14 @@
     limit: int
 
 
+@attrs.frozen
+class BodyTooSlow(SeamError):
+    """The body did not arrive in time."""
+
+    code = "body_too_slow"
+    limit_s: float
+
+
 @attrs.frozen
 class BodyUnreadable(SeamError):
     """The request body is not valid JSON."""
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -46,6 +46,8 @@
     """Header names in lower case."""
     service: str = ""
     operation: str = ""
+    fault: errors.SeamError | None = None
+    """Why the body could not be received."""
 
 
 @attrs.define(eq=False)
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -15,6 +15,7 @@
 from seam_model import keys
 from seam_model import requests
 from seam_node import node as node_module
+from seam_node import task
 from seam_node.filters import base
 from seam_node.filters import identify
 from seam_node.filters import parse
@@ -24,6 +25,10 @@
 JSON = "application/json"
 SERVER_ERROR = 500
 MAX_UNSENT_BYTES = 64 * 1024
+BODY_DROP_FACTOR = 2
+"""Bodies of up to so many times the limit are read before the refusal."""
+BODY_MARGIN_S = 1.0
+"""How long after its refusal a slow body is cut off."""
 DRAIN_LIMIT_S = 5.0
 """How long a caller may leave that much unread."""
 
@@ -105,13 +110,6 @@
             refusal = requests.Refusal(internal, errors.Ran.UNKNOWN)
         self._refuse(refusal, status_code)
 
-    def _raw(self, service: str = "", operation: str = "") -> base.RawRequest:
-        headers = {
-            name.lower(): value
-            for name, value in self.request.headers.get_all()
-        }
-        return base.RawRequest(self.request.body, headers, service, operation)
-
     def _refuse(
         self, refusal: requests.Refusal, status: int | None = None
     ) -> None:
@@ -121,6 +119,85 @@
         self.finish(refusals.body_of(refusal))
 
 
+class _NotFoundHandler(_Handler):
+    """Refuses every other path."""
+
+    def prepare(self) -> None:
+        """Raises tornado's own 404, which is answered as JSON."""
+        raise web.HTTPError(404)
+
+
+class _BodyHandler(_Handler):
+    """Base of the handlers that take a body: not too large or too slow.
+
+    A body that is somewhat too large is read and dropped before the refusal:
+    closing a connection with unread bytes would destroy the answer.
+    """
+
+    def initialize(self, node: node_module.Node) -> None:
+        """Takes the node and starts the time limit of the body."""
+        super().initialize(node)
+        limits = node.settings.limits
+        self._limit = limits.max_body_bytes
+        self._body = bytearray()
+        self._fault: errors.SeamError | None = None
+        self._timer = asyncio.get_running_loop().call_later(
+            limits.body_timeout_s, self._too_slow, limits.body_timeout_s
+        )
+
+    def prepare(self) -> Any:
+        """Refuses at once a body that is far too large to be read."""
+        length = self.request.headers.get("Content-Length", "")
+        if length.isdecimal() and int(length) > BODY_DROP_FACTOR * self._limit:
+            self._fault = errors.BodyTooLarge(self._limit)
+            return self._run()
+        return None
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keeps a part of the body, or drops all of one that is too large."""
+        if self._fault is None:
+            self._body += chunk
+        if len(self._body) > self._limit:
+            self._fault = errors.BodyTooLarge(self._limit)
+            self._body.clear()
+
+    def on_connection_close(self) -> None:
+        """Forgets the body of a caller that has gone."""
+        self._timer.cancel()
+        self._body.clear()
+        super().on_connection_close()
+
+    def on_finish(self) -> None:
+        """Ends the time limit, also of what tornado itself refused."""
+        self._timer.cancel()
+
+    async def post(self, *names: str) -> None:
+        """Runs the request once its body is whole."""
+        del names
+        if not self._finished:
+            await self._run()
+
+    async def run(self, raw: base.RawRequest) -> None:
+        """Runs the request through its filter chain and answers."""
+        raise NotImplementedError
+
+    async def _run(self) -> None:
+        self._timer.cancel()
+        headers = {
+            name.lower(): value
+            for name, value in self.request.headers.get_all()
+        }
+        body = bytes(self._body)
+        self._body.clear()
+        await self.run(
+            base.RawRequest(body, headers, *self.path_args, fault=self._fault)
+        )
+
+    def _too_slow(self, limit_s: float) -> None:
+        self._fault = errors.BodyTooSlow(limit_s)
+        task.run_in_background(self._run())
+
+
 class EntryHandler(_Handler):
     """`GET /v1/entry`: which instances to use."""
 
@@ -131,12 +208,13 @@
         self.finish(codec.to_json(self._node.entry_answer(workspace)))
 
 
-class GenerateHandler(_Handler):
+@web.stream_request_body
+class GenerateHandler(_BodyHandler):
     """`POST /v1/generate`: streams the answer of a model."""
 
-    async def post(self) -> None:
+    async def run(self, raw: base.RawRequest) -> None:
         """Runs the request through the filter chain."""
-        ctx = await self._node.generate(self._raw(), self.sink)
+        ctx = await self._node.generate(raw, self.sink)
         if self.sink.gone():
             return
         if ctx.refusal is None:
@@ -147,12 +225,12 @@
             self._refuse(ctx.refusal)
 
 
-class ServiceHandler(_Handler):
+@web.stream_request_body
+class ServiceHandler(_BodyHandler):
     """`POST /v1/services/{service}/{operation}`: calls a plain service."""
 
-    async def post(self, service: str, operation: str) -> None:
+    async def run(self, raw: base.RawRequest) -> None:
         """Runs the call through the filter chain."""
-        raw = self._raw(service, operation)
         ctx = await self._node.call_service(raw, self.sink)
         if self.sink.gone():
             return
@@ -231,12 +309,17 @@
         ("/healthz", HealthHandler, {"node": node, "ready": False}),
         ("/readyz", HealthHandler, {"node": node, "ready": True}),
     ]
-    app = web.Application(routes, log_function=lambda handler: None)
+    app = web.Application(
+        routes,
+        log_function=lambda handler: None,
+        default_handler_class=_NotFoundHandler,
+        default_handler_args={"node": node},
+    )
     limits = node.settings.limits
     return httpserver.HTTPServer(
         app,
-        max_body_size=limits.max_body_bytes,
+        max_body_size=BODY_DROP_FACTOR * limits.max_body_bytes,
         max_buffer_size=2 * limits.max_body_bytes,
         idle_connection_timeout=limits.header_timeout_s,
-        body_timeout=limits.body_timeout_s,
+        body_timeout=limits.body_timeout_s + BODY_MARGIN_S,
     )
--- a/packages/seam_node/seam_node/web/refusals.py
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -20,6 +20,7 @@
     errors.IdTaken: 409,
     errors.RunUnknown: 404,
     errors.StreamUnknown: 410,
+    errors.BodyTooSlow: 408,
     errors.AlreadyEnded: 409,
     errors.AlreadyRunning: 409,
     errors.ConfigConflict: 409,
