Let a caller come back after the end and after a refusal

A run that sent nothing is withdrawn now; its generation stays used if an endpoint may know it, and the next arrival takes over and starts again under a higher one. - A stream whose engine was out of reach of one instance ended for all; it is withdrawn now, and the mirrors cancel it after the resume window.

--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -82,12 +82,14 @@
 
 @attrs.frozen
 class RunReleased:
-    """Withdraws a registration that did not get its majority."""
+    """Withdraws a registration that has no majority or sent nothing."""
 
     request_id: bytes
     generation: int
     instance: str
     incarnation: int
+    keep: bool = False
+    """Whether an endpoint may know the generation, so that it stays used."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/mirror.py
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -185,7 +185,7 @@
             message.incarnation,
         ):
             return
-        if message.generation == 1:
+        if message.generation == 1 and not message.keep:
             del self._entries[message.request_id]
         else:
             entry.instance = ""
--- a/packages/seam_node/seam_node/controllers/registry.py
+++ b/packages/seam_node/seam_node/controllers/registry.py
@@ -29,6 +29,8 @@
 LIST_SETTLE_S = 10.0
 """How long a replaced list still counts, for peers that see it later."""
 RENEW_S = 1.0
+ENDED_WELL = "ok"
+"""Outcome of a run whose whole answer was sent."""
 
 
 @attrs.frozen
@@ -45,6 +47,8 @@
 
     engine: str
     generation: int
+    ended: str = ""
+    """Outcome of a run of which only the kept stream may be read."""
 
 
 @attrs.define
@@ -161,26 +165,47 @@
         if run is not None:
             self._tell_all(peers.RunEnded(request_id, run.generation, outcome))
 
+    def withdraw(self, request_id: bytes, keep: bool) -> None:
+        """Gives a run up that another arrival of the id may start again.
+
+        `keep` tells that an endpoint may have seen it; the next one is a
+        takeover then.
+        """
+        run = self._runs.pop(request_id, None)
+        if run is None:
+            return
+        wanted = _holder(self._members.view().own, run)
+        self._release(
+            peers.RunReleased(request_id, *wanted, keep),
+            self._sets(request_id),
+        )
+
     async def take_over(
         self, request_id: bytes
     ) -> expression.Result[TakeOver, errors.SeamError]:
         """Continues a run that another reader or instance holds.
 
+        A run that ended well is not registered again: its engine keeps the
+        finished stream for a while, for a caller that lost the last events.
+
         Errors: `RunUnknown`, `AlreadyEnded`, `NoQuorum` and, when another
         takeover was faster, `AlreadyRunning`.
         """
         ballot = await self._poll(request_id, peers.RunQuery(request_id))
         known = [a for a in ballot.answers.values() if a.generation]
+        known.sort(key=lambda a: a.generation, reverse=True)
+        engine = next((a.engine for a in known if a.engine), "")
         for answer in known:
+            if answer.ended == ENDED_WELL and engine:
+                taken = TakeOver(engine, answer.generation + 1, answer.ended)
+                return expression.Ok(taken)
             if answer.ended:
                 return expression.Error(errors.AlreadyEnded(answer.ended))
         if not ballot.won():
             return expression.Error(ballot.shortfall())
         if not known:
             return expression.Error(errors.RunUnknown())
-        known.sort(key=lambda a: a.generation, reverse=True)
         generation = known[0].generation + 1
-        engine = next((a.engine for a in known if a.engine), "")
         holder = next((a.instance for a in known if a.instance), "")
         handed = await self._hand_over(request_id, generation, holder)
         run = _Run(generation, handed or engine)
@@ -223,7 +248,8 @@
             ballot = await self._poll(request_id, wanted)
         except asyncio.CancelledError:
             self._drop(request_id, run)
-            self._release(wanted, self._sets(request_id))
+            released = peers.RunReleased(request_id, *_holder(own, run))
+            self._release(released, self._sets(request_id))
             raise
         ended = any(answer.ended for answer in ballot.answers.values())
         held = self._runs.get(request_id) is run
@@ -232,7 +258,8 @@
             self._note_known(run, ballot)
             return expression.Ok(Registration(request_id, wanted.generation))
         self._drop(request_id, run)
-        self._release(wanted, ballot.sets)
+        released = peers.RunReleased(request_id, *_holder(own, run))
+        self._release(released, ballot.sets)
         return expression.Error(_refusal(ballot, own))
 
     def _drop(self, request_id: bytes, run: _Run) -> None:
@@ -240,14 +267,8 @@
             del self._runs[request_id]
 
     def _release(
-        self, wanted: peers.RegisterRun, sets: tuple[tuple[str, ...], ...]
+        self, message: peers.RunReleased, sets: tuple[tuple[str, ...], ...]
     ) -> None:
-        message = peers.RunReleased(
-            wanted.request_id,
-            wanted.generation,
-            wanted.instance,
-            wanted.incarnation,
-        )
         for name in _union(sets):
             self.spawn(self._tell(name, message))
 
@@ -387,6 +408,7 @@
         if answer.ended:
             return errors.AlreadyEnded(answer.ended)
     for answer in refused:
-        if answer.instance and answer.instance != own.name:
+        holder = (answer.instance, answer.incarnation)
+        if answer.generation and holder != (own.name, own.incarnation):
             return errors.AlreadyRunning(answer.instance)
     return ballot.shortfall()
--- a/packages/seam_node/seam_node/controllers/runs.py
+++ b/packages/seam_node/seam_node/controllers/runs.py
@@ -57,6 +57,8 @@
     engine: str = ""
     incarnation: int = 0
     """Number of the current attempt at the engine."""
+    ended: str = ""
+    """Outcome of a run of which only the kept stream is read."""
     stop: Stop | None = None
     stream: engine_port.DecodeStream | None = None
     wakes: int = 0
--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -17,6 +17,8 @@
 RESUME_TIMEOUT_S = 2.0
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.5
+_MAY_RUN_ON = (errors.EndpointLost, errors.EndpointUnreachable)
+"""After these another instance may still reach the stream."""
 
 
 class DeduplicateFilter(base.Filter):
@@ -80,6 +82,7 @@
         ctx.note(self.name, f"took over generation {taken.ok.generation}")
         run = runs.Run(req.request_id, taken.ok.generation, ctx.trace)
         run.engine = taken.ok.engine
+        run.ended = taken.ok.ended
         return expression.Ok(run)
 
     async def _attach(self, ctx: base.Context) -> base.Result:
@@ -87,6 +90,8 @@
         run = ctx.run
         run.incarnation = ids.engine_incarnation(run.generation, 0)
         if not run.engine or self._directory.record(run.engine) is None:
+            if run.ended:
+                return base.fail(errors.AlreadyEnded(run.ended))
             return self._unplaced(ctx)
         engine = self._directory.engine(run.engine)
         order = endpoints.ResumeOrder(
@@ -103,6 +108,8 @@
             return base.OK
         if not isinstance(opened.error, errors.StreamUnknown):
             return base.fail(opened.error)
+        if run.ended:
+            return base.fail(errors.AlreadyEnded(run.ended))
         # A cancelled generation can't start there any more, so that a run
         # which has sent nothing may be started again.
         cancelled = await engine.cancel(
@@ -125,9 +132,16 @@
         self._table.remove(run)
         if run.stop is runs.Stop.HANDED_OVER:
             return
-        outcome = "ok" if result.is_ok() else result.error.code
-        self._registry.ended(request_id, outcome)
-        if result.is_error() and run.engine:
+        if result.is_ok():
+            self._registry.ended(request_id, registry.ENDED_WELL)
+            return
+        unsent = ctx.next_seq == 1
+        lost = isinstance(result.error, _MAY_RUN_ON)
+        if run.stop is None and (unsent or lost):
+            self._registry.withdraw(request_id, ctx.reached_endpoint)
+        else:
+            self._registry.ended(request_id, result.error.code)
+        if run.engine and (unsent or not lost):
             task.run_in_background(self._cancel(run))
 
     async def _cancel(self, run: runs.Run) -> None:
--- /dev/null
+++ b/tests/proofs/test_runs_faults.py
@@ -0,0 +1,124 @@
+"""Proofs of the runs' promises under each failure, in pairs and twice."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from proofs import callers
+from proofs import fleet
+
+TOKENS = 120
+REQUESTS = 8
+
+
+async def kill(flt, clients):
+    await flt.kill(flt.rng.choice(sorted(flt.instances)))
+
+
+async def freeze(flt, clients):
+    name = flt.rng.choice(sorted(flt.instances))
+    flt.freeze(name)
+    await asyncio.sleep(8.0)
+    flt.thaw(name)
+
+
+async def cut(flt, clients):
+    flt.part(flt.rng.choice(flt.names))
+    await asyncio.sleep(6.0)
+    flt.links.heal()
+
+
+async def silence(flt, clients):
+    for conn in clients.connections:
+        conn.silent |= flt.rng.random() < 0.5
+
+
+async def loss(flt, clients):
+    flt.links.loss = 0.05
+    await asyncio.sleep(5.0)
+    flt.links.loss = 0.0
+
+
+async def outage(flt, clients):
+    flt.store.down = True
+    await asyncio.sleep(20.0)
+    flt.store.down = False
+
+
+async def transfers_fail(flt, clients):
+    for core in flt.engines.values():
+        core.set_faults(fail_transfers=2)
+
+
+async def answers_lost(flt, clients):
+    for core in flt.engines.values():
+        core.set_faults(lose_answers=2)
+
+
+async def engine_silent(flt, clients):
+    core = flt.engines[f"decode-{flt.rng.randint(1, 3)}"]
+    core.set_faults(silent=True)
+    await asyncio.sleep(2.5)
+    core.set_faults(silent=False)
+
+
+async def engine_dies(flt, clients):
+    flt.kill_engine(f"decode-{flt.rng.randint(1, 3)}")
+
+
+FAULTS = (
+    kill,
+    freeze,
+    cut,
+    silence,
+    loss,
+    outage,
+    transfers_fail,
+    answers_lost,
+    engine_silent,
+    engine_dies,
+)
+CASES = [
+    *((fault,) for fault in FAULTS),
+    *itertools.combinations_with_replacement(FAULTS, 2),
+]
+
+
+async def strike(flt, clients, fault):
+    await asyncio.sleep(flt.rng.uniform(0.0, 3.0))
+    await fault(flt, clients)
+
+
+async def ask(flt, clients):
+    await asyncio.sleep(flt.rng.uniform(0.0, 2.0))
+    route = flt.rng.sample(flt.names, len(flt.names))
+    return await clients.generate(route, max_tokens=TOKENS, rank="other")
+
+
+def _name(faults):
+    return "-".join(fault.__name__ for fault in faults)
+
+
+@pytest.mark.parametrize("seed", fleet.seeds(1))
+@pytest.mark.parametrize("faults", CASES, ids=_name)
+def test_answers_are_whole_or_refused(seed, faults):
+    async def scenario(flt, clients):
+        struck = [
+            asyncio.ensure_future(strike(flt, clients, fault))
+            for fault in faults
+        ]
+        answers = await asyncio.gather(
+            *(ask(flt, clients) for _ in range(REQUESTS))
+        )
+        await asyncio.gather(*struck)
+        await asyncio.sleep(12.0)
+        await flt.quiet()
+        return answers, callers.taken(flt), callers.ledgers(flt)
+
+    found, (answers, used, books) = callers.session(seed, scenario)
+    assert not found
+    if engine_dies not in faults:
+        assert not callers.not_whole(answers)
+    assert not used
+    assert not books
