--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -14,6 +14,7 @@
 from standins import virtual_loop
 
 SEED = 7
+STEP_S = 10.0
 
 
 def session(scenario, defaults=lambda shipped: shipped):
@@ -31,8 +32,8 @@
 
 
 def new_id(number, age_s=0.0):
-    """Returns an id of now whose last digits tell its number."""
-    wall_s = virtual_loop.VirtualClock().wall()
+    """Returns an id of about now, the same for small changes of timing."""
+    wall_s = virtual_loop.VirtualClock().wall() // STEP_S * STEP_S
     return ids.make_uuid7(wall_s - age_s, random.Random(number))
 
 
@@ -69,6 +70,7 @@
         link.note("the stream at e1")
         link.transcript.response(running)
         await link.send("DELETE", path, "e2", heads)
+        await link.generated(request_id, "e3")
 
     assert session(scenario) == snapshot
 
@@ -104,6 +106,8 @@
         await running.until()
         link.note("too short a deadline")
         await link.generated(new_id(3), "e1", deadline_s=0.01)
+        link.note("an id that was answered")
+        await link.generated(request_id, "e2")
         for core in flt.engines.values():
             core.set_faults(down=True)
         link.note("no engine answers")
