--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -73,6 +73,9 @@
                 return expression.Ok(
                     runs.Run(req.request_id, begun.ok.generation, ctx.trace)
                 )
+            if isinstance(begun.error, errors.AlreadyEnded):
+                # An earlier attempt with the id may have been answered.
+                ctx.reached_endpoint = True
             if not isinstance(begun.error, errors.AlreadyRunning):
                 return begun
         # The id has a run, of which the endpoints may have seen something.
