--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -47,7 +47,7 @@
 
     def change(defaults):
         sized = {
-            name: config.ModelRule(1000, 60000, (), 2_000_000_000)
+            name: config.ModelRule(1000, 60000, 2_000_000_000)
             for name in (fleet.MODEL, OTHER_MODEL)
         }
         return attrs.evolve(defaults, models=sized, engines=rules)
--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -151,12 +151,20 @@
 
 
 def one_answer(h: History) -> list[Violation]:
-    """An id has one end, and one relay at a time."""
-    found = []
+    """An id has one end, nothing after it, and one relay at a time."""
+    found: list[Violation] = []
     for id_, tries in _by_id(h.attempts).items():
         ends = [a for a in tries if a.done_tokens]
         if len(ends) > 1:
             found.append(SecondAnswer(id_, f"{len(ends)} ends"))
+        found += [
+            SecondAnswer(id_, "an event after the end")
+            for end in ends
+            for other in tries
+            if other is not end
+            and other.events
+            and other.events[-1].at_s > end.events[-1].at_s
+        ]
         relays = [a for a in tries if a.events]
         relays.sort(key=lambda a: a.events[0].at_s)
         for old, new in itertools.pairwise(relays):
