--- a/bench/measure_caller.py
+++ b/bench/measure_caller.py
@@ -131,7 +131,7 @@
         way_s = self._fleet.deployment.client_s
         name = self._rng.choice(sorted(self._fleet.nodes))
         await asyncio.sleep(way_s)
-        if name in self._fleet.dead:
+        if name in self._fleet.links.dead:
             await asyncio.sleep(way_s)
             return None
         raw = self._raw(arrival, outcome)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -20,6 +20,7 @@
 from seam_node import metrics
 from seam_node import status
 from seam_node.adapters import platform_meter
+from seam_node.controllers import bookings
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -41,6 +42,7 @@
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
 from seam_node.controllers import service_gate
+from seam_node.controllers import slots
 from seam_node.filters import account
 from seam_node.filters import admit
 from seam_node.filters import base
@@ -171,8 +173,13 @@
         """Returns why no new work is taken, or None."""
         if self.config.current() is None:
             return errors.InstanceNotReady("no confirmed configuration yet")
-        if self.members.view().fleet_at is None:
+        view = self.members.view()
+        if view.fleet_at is None:
             return errors.InstanceNotReady("no list of the fleet yet")
+        if not (view.own.leaving or view.lists(self.record.name)):
+            return errors.InstanceNotReady("the platform does not list it yet")
+        if self.mirror.warming:
+            return errors.InstanceNotReady("its mirror learns of runs yet")
         fresh = self.config.freshness(self.ports.clock.monotonic())
         return fresh.error if fresh.is_error() else None
 
@@ -338,6 +345,9 @@
             self._engine_defaults,
             self.ports.clock,
         )
+        self.bookings = bookings.BookingOwner(
+            self.ports.peers, self.ports.clock
+        )
         self.watch = engine_watch.EngineWatch(
             self.record.name,
             self.record.data_centre,
@@ -438,13 +448,17 @@
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
-                self.ownership,
-                self.ports.peers,
+                slots.SlotClient(
+                    self.directory, self.ownership, self.ports.peers
+                ),
                 self.planner,
             ),
             transfer.TransferFilter(
                 self.directory,
                 self.planner,
+                bookings.BookingClient(
+                    self.ownership, self.ports.peers, self.planner
+                ),
                 self.registry,
                 self.metrics,
                 self.owner_id,
