--- a/packages/seam_ctl/seam_ctl/config_cmds.py
+++ b/packages/seam_ctl/seam_ctl/config_cmds.py
@@ -1,5 +1,7 @@
 """The commands `config`, `exception` and `audit`."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import pathlib
 import tomllib
 from typing import Annotated
@@ -10,6 +12,7 @@
 import typer
 
 from seam_ctl import client
+from seam_ctl import exits
 from seam_ctl import output
 from seam_model import admin
 from seam_model import config
@@ -28,6 +31,9 @@
     pathlib.Path, typer.Argument(help="TOML file, as `config show` writes it.")
 ]
 Why = Annotated[str, typer.Option(help="Why, for the audit trail.")]
+ChangeId = Annotated[
+    str, typer.Option(help="Id of an earlier try that was not settled.")
+]
 
 
 # Configuration
@@ -66,6 +72,7 @@
         int,
         typer.Option(help="Version started from; else the file's `version`."),
     ] = admin.ANY_VERSION,
+    change_id: ChangeId = "",
     as_json: output.JsonFlag = False,
 ) -> None:
     """Makes a draft the next version, unless another change came first."""
@@ -75,11 +82,13 @@
     if version is None:
         error = errors.BadInput(VERSION_KEY, "(missing)", "or --expected")
         output.fail(error, as_json)
-    change_id = client.new_change_id()
-    change = output.ask(
-        ctx, lambda c: c.apply(draft, why, version, change_id), as_json
+    change_id = change_id or client.new_change_id()
+    _submit(
+        ctx,
+        lambda c: c.apply(draft, why, version, change_id),
+        change_id,
+        as_json,
     )
-    _show_change(change, as_json)
 
 
 @app.command("diff")
@@ -153,6 +162,7 @@
     expected: Annotated[
         int, typer.Option(help="Version started from.")
     ] = admin.ANY_VERSION,
+    change_id: ChangeId = "",
     as_json: output.JsonFlag = False,
 ) -> None:
     """Adds an exception for everything that the scope names."""
@@ -164,12 +174,11 @@
         data_centre=data_centre,
         rank=rank,
     )
-    change_id = client.new_change_id()
+    change_id = change_id or client.new_change_id()
     body = admin.ExceptionRequest(
         rule_id, scope, values, reason, change_id, expected
     )
-    change = output.ask(ctx, lambda c: c.add_exception(body), as_json)
-    _show_change(change, as_json)
+    _submit(ctx, lambda c: c.add_exception(body), change_id, as_json)
 
 
 @exceptions.command("remove")
@@ -180,14 +189,15 @@
     expected: Annotated[
         int, typer.Option(help="Version started from.")
     ] = admin.ANY_VERSION,
+    change_id: ChangeId = "",
     as_json: output.JsonFlag = False,
 ) -> None:
     """Removes an exception."""
-    body = admin.RemoveRequest(why, client.new_change_id(), expected)
-    change = output.ask(
-        ctx, lambda c: c.remove_exception(rule_id, body), as_json
+    change_id = change_id or client.new_change_id()
+    body = admin.RemoveRequest(why, change_id, expected)
+    _submit(
+        ctx, lambda c: c.remove_exception(rule_id, body), change_id, as_json
     )
-    _show_change(change, as_json)
 
 
 # Reading what people write
@@ -267,6 +277,23 @@
         output.table(CHANGE_COLUMNS, change_rows(changes))
 
 
+def _submit(
+    ctx: typer.Context,
+    call: Callable[[client.AdminClient], Awaitable[expression.Result]],
+    change_id: str,
+    as_json: bool,
+) -> None:
+    """Makes a change and shows it, or says how to settle whether it was."""
+    try:
+        change = output.ask(ctx, call, as_json)
+    except typer.Exit as exc:
+        if exc.exit_code == exits.UNSETTLED:
+            text = f"to settle it, repeat with --change-id {change_id}"
+            typer.echo(text, err=True)
+        raise
+    _show_change(change, as_json)
+
+
 def _show_change(change: config.Change, as_json: bool) -> None:
     if as_json:
         output.show_json(change)
--- a/packages/seam_ctl/seam_ctl/fleet_cmds.py
+++ b/packages/seam_ctl/seam_ctl/fleet_cmds.py
@@ -150,7 +150,7 @@
         f"instances, asked {found.asked}",
     )
     books = {
-        book.engine: book
+        book.name: book
         for instance in found.instances
         for book in instance.ledgers
     }
@@ -170,6 +170,35 @@
         (_endpoint_row(each, books.get(each.name)) for each in found.endpoints),
         "endpoints",
     )
+    _show_calls(found)
+
+
+def _show_calls(found: admin.FleetStatus) -> None:
+    rows = [
+        (
+            each.name,
+            book.name,
+            book.usable,
+            book.granted,
+            book.waiting_urgent,
+            book.waiting_other,
+        )
+        for each in found.instances
+        for book in each.services
+    ]
+    if rows:
+        output.table(
+            (
+                "instance",
+                "service",
+                "calls allowed",
+                "running",
+                "urgent waiting",
+                "other waiting",
+            ),
+            rows,
+            "calls of plain services",
+        )
 
 
 def _state(each: admin.InstanceStatus) -> str:
--- a/packages/seam_model/seam_model/admin.py
+++ b/packages/seam_model/seam_model/admin.py
@@ -125,9 +125,9 @@
 
 @attrs.frozen
 class LedgerStatus:
-    """Slots of one engine as its owner counts them."""
+    """Slots of one engine, or of one service's calls at one instance."""
 
-    engine: str
+    name: str
     usable: int
     """Slots that the adaptive limit allows."""
     granted: int
@@ -160,6 +160,9 @@
     leases: dict[str, int] = attrs.field(factory=dict)
     """Fencing numbers of the leases that are held here, by name."""
     ledgers: tuple[LedgerStatus, ...] = ()
+    """Of the engines that the instance owns."""
+    services: tuple[LedgerStatus, ...] = ()
+    """Of its calls to plain services."""
     outcomes: dict[str, int] = attrs.field(factory=dict)
     """Requests that ended since the start, by outcome."""
 
--- a/packages/seam_node/seam_node/gauges.py
+++ b/packages/seam_node/seam_node/gauges.py
@@ -54,6 +54,11 @@
                 "Decode slots that may be granted, over owned engines.",
                 sum(book.usable for book in books),
             ),
+            (
+                "calls_admitted",
+                "Calls of plain services that were let in.",
+                sum(book.granted for book in now.services),
+            ),
             (
                 "unstored_claims",
                 "Outcomes of orders not stored yet.",
@@ -61,16 +66,23 @@
             ),
         ):
             yield core.GaugeMetricFamily(f"seam_{name}", text, value)
-        yield _queues(books)
+        yield _queues(
+            "queue_length",
+            "Requests that wait for a decode slot, over owned engines.",
+            books,
+        )
+        yield _queues(
+            "calls_waiting",
+            "Calls of plain services that wait to be let in.",
+            now.services,
+        )
         yield _state(now.state)
 
 
-def _queues(books: tuple[admin.LedgerStatus, ...]) -> core.GaugeMetricFamily:
-    family = core.GaugeMetricFamily(
-        "seam_queue_length",
-        "Requests that wait for a decode slot, over owned engines.",
-        labels=("rank",),
-    )
+def _queues(
+    name: str, text: str, books: tuple[admin.LedgerStatus, ...]
+) -> core.GaugeMetricFamily:
+    family = core.GaugeMetricFamily(f"seam_{name}", text, labels=("rank",))
     family.add_metric(("urgent",), sum(book.waiting_urgent for book in books))
     family.add_metric(("other",), sum(book.waiting_other for book in books))
     return family
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -251,7 +251,8 @@
                 fresh.ok if fresh.is_ok() else fresh.error.silent_s
             ),
             leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
-            ledgers=status.ledgers(self.owner),
+            ledgers=status.ledgers(self.owner.ledgers()),
+            services=status.ledgers(self.gates.ledgers()),
             outcomes=self.metrics.outcomes(),
         )
 
--- a/packages/seam_node/seam_node/status.py
+++ b/packages/seam_node/seam_node/status.py
@@ -1,26 +1,27 @@
 """What an instance says of itself to operators."""
 
-from typing import Any
+from collections.abc import Mapping
 
 from seam_model import admin
 from seam_node.controllers import drain
 from seam_node.controllers import engines
-from seam_node.controllers import owner
 from seam_node.controllers import ownership
 from seam_policy import ledger
 
 
-def ledgers(controller: owner.OwnerController) -> tuple[Any, ...]:
-    """Returns an `admin.LedgerStatus` for each owned engine, by name."""
+def ledgers(
+    books: Mapping[str, ledger.SlotLedger],
+) -> tuple[admin.LedgerStatus, ...]:
+    """Returns what operators see of ledgers, by name."""
     return tuple(
         admin.LedgerStatus(
-            engine,
+            name,
             book.usable,
             book.running,
             book.waiting_of(ledger.URGENT),
             book.waiting_of(ledger.OTHER),
         )
-        for engine, book in sorted(controller.ledgers().items())
+        for name, book in sorted(books.items())
     )
 
 
--- a/tests/seam_ctl/test_main.py
+++ b/tests/seam_ctl/test_main.py
@@ -2,11 +2,13 @@
 
 import json
 
+import expression
 import pytest
 import typer.testing
 
 from seam_ctl import exits
 from seam_ctl import main
+from seam_model import errors
 from seam_model import keys
 from seam_model import settings
 from tests.seam_node.web import admin_world
@@ -153,3 +155,24 @@
     monkeypatch.setenv("SYCAMORESEAM_PROFILE", str(file))
     result = runner.invoke(main.app, ["status", "--json"])
     assert json.loads(result.output)["asked"] == "e2"
+
+
+def test_an_unsettled_change_is_settled_by_its_id(run, world, monkeypatch):
+    controller = world.nodes["e1"].config
+    real = controller.apply
+
+    async def lose(*args):
+        assert (await real(*args)).is_ok()
+        return expression.Error(errors.PlatformAmbiguous("apply"))
+
+    add = ("exception", "add", "late", "--workspace", "w")
+    add += ("--set", "workspace.burst=3", "--reason", "a lost answer")
+    monkeypatch.setattr(controller, "apply", lose)
+    said = run(*add, code=exits.UNSETTLED)
+    monkeypatch.setattr(controller, "apply", real)
+    change_id = said.split("--change-id ")[1].split()[0]
+    version = json.loads(run("config", "show", "--json"))["version"]
+    done = json.loads(run(*add, "--change-id", change_id, "--json"))
+    assert (done["version"], done["change_id"]) == (version, change_id)
+    run(*add, code=exits.INVALID)
+    run("exception", "remove", "late", "--why", "the test is over")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,6 +1,7 @@
 """The lines of the users' pages run; their tables say what the code does."""
 
 import asyncio
+import fnmatch
 import os
 import pathlib
 import re
@@ -10,6 +11,7 @@
 from bench import hold
 from seam_ctl import exits
 from seam_model import admin
+from seam_model import config
 from seam_model import errors
 from seam_node import gauges
 from seam_node import metrics
@@ -17,6 +19,7 @@
 
 DOCS = cluster.ROOT / "docs"
 PAGES = ("CALLERS", "ADMIN", "TUTORIAL")
+OTHERS = ("OPERATIONS", "GLOSSARY", "CHANGELOG")
 BLOCK = re.compile(r"^```sh\n(.*?)^```", re.DOTALL | re.MULTILINE)
 LIMIT_S = 120.0
 TWO = cluster.Layout(
@@ -107,15 +110,35 @@
     assert listed == sorted(values)
 
 
+def test_scopes_of_exceptions_are_listed():
+    listed = {}
+    for patterns, scope in rows("ADMIN", "Exceptions")[1:]:
+        fields = {
+            name
+            for name in config.SCOPE_FIELDS
+            if name.replace("_", " ") in scope
+        }
+        for pattern in re.findall("`(.*?)`", patterns):
+            for key in fnmatch.filter(config.OVERRIDABLE, pattern):
+                listed[key] = fields
+    assert listed == {k: set(v) for k, v in config.OVERRIDABLE.items()}
+
+
 def test_metrics_that_the_pages_name_exist():
     meter = metrics.Metrics()
     status = admin.InstanceStatus("e1", "cebu-a", 1, "", "", "serving")
     meter.registry.register(gauges.StatusCollector(lambda: status))
     known = set(re.findall(r"^# HELP (\w+)", meter.text().decode(), re.M))
     named = set()
-    for name in (*PAGES, "OPERATIONS", "GLOSSARY", "CHANGELOG"):
+    for name in PAGES + OTHERS:
         named |= set(re.findall(r"\bseam_\w+_\w+|\bseam_state\b", page(name)))
     packages = {"seam_ctl", "seam_node", "seam_model", "seam_policy"}
     named = {each.removesuffix("_bucket") for each in named} - packages
     assert len(named) > 15
     assert named <= known
+
+
+def test_links_of_the_pages_lead_somewhere():
+    for name in PAGES + OTHERS:
+        for target in re.findall(r"\]\(([^)#:]+\.md)", page(name)):
+            assert (DOCS / target).exists(), f"{name}: {target}"
