--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -248,12 +248,14 @@
             in_progress=self.drain.in_progress,
             not_ready=reason.describe() if reason else "",
             live_peers=len(self._live_peers()),
+            warming=self.mirror.warming,
             unstored_claims=self.claims.unstored(),
             config_silent_s=(
                 fresh.ok if fresh.is_ok() else fresh.error.silent_s
             ),
             leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
-            ledgers=status.ledgers(self.owner),
+            ledgers=status.ledgers(self.owner.ledgers()),
+            services=status.ledgers(self.gates.ledgers()),
             outcomes=self.metrics.outcomes(),
         )
 
