Reckon streams' ends from when they start in truth

Cause, by trace: after the prefill, streams waited 0.1 to 0.3 s for a slot granted ahead of another stream's end; that stream had itself started later than was reckoned at its grant. Ruled out: the prefill queue (prefills ended as booked). Now a release tells when the stream started (its tokens times their gap), and the mean delay and its spread move the expected ends. The ledger test's warm-up released streams 7 s after their own figures said that they ended; its times are now those of the tokens, with the same checks.

--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -150,6 +150,8 @@
         self._limit.per_token.value = limits.per_token_s
         self._token_ratio = estimate.Ewma(1.0)
         self._typical_tokens = estimate.Ewma(256.0)
+        self._start_delay = estimate.Ewma(0.0)
+        """Seconds by which streams start later than was reckoned."""
         self._urgent_rate = estimate.ArrivalRate(_RATE_WINDOW_S)
         self._reports = reconcile.Reconciler()
 
@@ -399,7 +401,9 @@
         for run in self._runs.values():
             if run.adopted:
                 continue
-            end = run.starts_at + self._stream_s(run.tokens, spreads=1.0)
+            late_s = self._start_delay.high(1.0)
+            end = run.starts_at + late_s
+            end += self._stream_s(run.tokens, spreads=1.0)
             if run.starts_at <= now <= end:
                 ends.append((end, run.kv_blocks))
         ends.sort()
@@ -608,8 +612,12 @@
         if tokens <= 0:
             return
         self._typical_tokens.add(float(tokens))
-        if not run.adopted and run.tokens > 0:
-            self._token_ratio.add(tokens / run.tokens)
+        if run.adopted or run.tokens <= 0:
+            return
+        self._token_ratio.add(tokens / run.tokens)
+        if per_token_s > 0:
+            started_at = now - tokens * per_token_s
+            self._start_delay.add(started_at - run.starts_at)
 
 
 def _adaptive_limit(limits: LedgerLimits) -> concurrency.AdaptiveLimit:
--- a/tests/seam_policy/test_ledger.py
+++ b/tests/seam_policy/test_ledger.py
@@ -120,10 +120,24 @@
     for number, tokens in enumerate(lengths):
         book.ask(_ask(number + 1000), -100.0)
         key = (number + 1000).to_bytes(16, "big")
-        book.release(key, tokens, 0.03, False, -90.0)
+        book.release(key, tokens, 0.03, False, -100.0 + tokens * 0.03)
     return book
 
 
+def test_ends_are_reckoned_from_when_streams_start_in_truth():
+    limits = ledger.LedgerLimits(slots=1, overbook=1)
+    book = ledger.SlotLedger(limits)
+    for number in range(1000, 1040):
+        book.ask(_ask(number, lead_s=0.1), -100.0)
+        key = number.to_bytes(16, "big")
+        book.release(key, 100, 0.03, False, -100.0 + 0.1 + 0.5 + 3.0)
+    book.ask(_ask(0, lead_s=0.1), 0.0)
+    book.ask(_ask(1, lead_s=0.4), 0.0)
+    assert book.tick(3.1) == []
+    (granted,) = book.tick(3.3)
+    assert 0.29 < granted.delay_s < 0.35
+
+
 def test_nothing_is_granted_ahead_when_lengths_vary():
     book = _warmed(ledger.LedgerLimits(slots=4), [20, 180] * 10)
     for number in range(4):
