Notice stalled transfers early and move on with the KV that lives

Causes, by trace: a stalled transfer was waited for 2 s, then its prefill was paid again; the engine was avoided for 5 s after one stall; an engine whose slots stalled transfers held was tried until the KV had expired. Now a transfer counts as stalled after 0.15 s and four times what it should take; the next engine gets the KV that lives, without drawing on the retry budget; an engine is avoided from the second loss within 1 s on; a full engine is tried for a quarter of the first token target; a silent owner of slots is given up after 0.12 s. The least-loaded baseline reads the reports of all engines now, not only of those that its instance owns.

--- a/packages/seam_node/seam_node/controllers/engine_watch.py
+++ b/packages/seam_node/seam_node/controllers/engine_watch.py
@@ -53,6 +53,8 @@
             for record in self._directory.engines(endpoints.EngineRole.DECODE):
                 if self._owners.owner_of(record.name) == self._self_name:
                     self.spawn(self._look_at_owned(record.name))
+                elif self._planner.reads_reports:
+                    self.spawn(self._read_report(record.name))
             await asyncio.sleep(OWNED_PERIOD_S)
 
     async def _prefill_loop(self) -> None:
@@ -71,6 +73,11 @@
         )
         return records[:PREFILL_WATCHED]
 
+    async def _read_report(self, name: str) -> None:
+        load = await self._directory.engine(name).load()
+        if load.is_ok():
+            self._planner.observe(load.ok)
+
     async def _look_at_owned(self, name: str) -> None:
         engine = self._directory.engine(name)
         load = await engine.load()
--- a/packages/seam_node/seam_node/controllers/engines.py
+++ b/packages/seam_node/seam_node/controllers/engines.py
@@ -14,6 +14,8 @@
 from seam_node.ports import clock
 from seam_node.ports import engine
 
+DOUBT_S = 1.0
+"""Time within which a second failure makes an engine suspect."""
 SUSPECT_S = 5.0
 """How long an engine that did not answer is avoided."""
 
@@ -41,6 +43,7 @@
         self._engines: dict[str, engine.Engine] = {}
         self._hints: dict[tuple[str, int], Hint] = {}
         self._suspects: dict[str, float] = {}
+        self._doubts: dict[str, float] = {}
         self._watchers: list[Callable[[], None]] = []
 
     def update(self, records: Iterable[endpoints.EndpointRecord]) -> None:
@@ -112,6 +115,13 @@
         """Avoids an endpoint that did not answer, for a while."""
         self._suspects[name] = self._clock.monotonic() + SUSPECT_S
 
+    def doubt(self, name: str) -> None:
+        """Avoids an endpoint from the second failure within a while on."""
+        now = self._clock.monotonic()
+        if now - self._doubts.get(name, float("-inf")) < DOUBT_S:
+            self.suspect(name)
+        self._doubts[name] = now
+
     def suspected(self, name: str) -> bool:
         """Tells whether an endpoint is avoided now."""
         return self._suspects.get(name, 0.0) > self._clock.monotonic()
--- a/packages/seam_node/seam_node/controllers/planner.py
+++ b/packages/seam_node/seam_node/controllers/planner.py
@@ -90,6 +90,11 @@
         """Whether a slot is reserved at the owner before prefill."""
         return self._policy.reserves
 
+    @property
+    def reads_reports(self) -> bool:
+        """Whether the load reports of every decode engine are needed."""
+        return self._policy.reads_reports
+
     # Choices
 
     def decode_order(
--- a/packages/seam_node/seam_node/controllers/slots.py
+++ b/packages/seam_node/seam_node/controllers/slots.py
@@ -16,7 +16,7 @@
 from seam_node.controllers import runs
 from seam_node.ports import peer
 
-ANSWER_MARGIN_S = 0.25
+ANSWER_MARGIN_S = 0.12
 MICROS_PER_S = 1e6
 
 
--- a/packages/seam_node/seam_node/filters/account.py
+++ b/packages/seam_node/seam_node/filters/account.py
@@ -48,6 +48,8 @@
             tokens=ctx.tokens,
             reached_endpoint=ctx.reached_endpoint,
         )
+        if ctx.kv is not None and ctx.first_token_at is None:
+            self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
         if isinstance(error, errors.SeamError):
             ctx.note(self.name, error.describe())
         if ctx.trace.request_id:
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -17,6 +17,9 @@
 from seam_node.controllers import runs
 from seam_node.ports import engine
 
+KV_RETRY_MARGIN_S = 0.1
+"""Life that a KV cache must have left for another transfer."""
+
 Result = expression.Result[None, errors.SeamError]
 Proceed = Callable[["Context"], Awaitable[Result]]
 
@@ -51,6 +54,19 @@
     operation: str = ""
 
 
+@attrs.frozen
+class HeldKv:
+    """KV cache of a finished prefill, until it is decoded or expires."""
+
+    engine: str
+    url: str
+    handle: str
+    expires_at: float
+    """Monotonic seconds."""
+    transfer_s: float
+    """Expected time of a transfer."""
+
+
 @attrs.define(eq=False)
 class Context:
     """One request on its way through the filters."""
@@ -73,6 +89,8 @@
     retry_after_s: float = 1.0
     slot_free_at: float = 0.0
     """Monotonic time by which the granted decode slot should be free."""
+    kv: HeldKv | None = None
+    """The last prefill's KV cache, which another attempt may use."""
     attempt: int = 0
     excluded: set[str] = attrs.field(factory=set)
     """Endpoints that failed this request."""
@@ -89,6 +107,12 @@
         at_s = round(self.now() - self.arrived_at, 4)
         self.trace.steps.append(runs.Step(at_s, name, what))
 
+    def kv_lives(self) -> bool:
+        """Tells whether an earlier attempt left a KV cache to transfer."""
+        if self.kv is None:
+            return False
+        return self.kv.expires_at - self.now() >= KV_RETRY_MARGIN_S
+
     def remaining_s(self) -> float:
         """Returns the seconds left until the request's deadline."""
         req = self.generate or self.call
--- a/packages/seam_node/seam_node/filters/place.py
+++ b/packages/seam_node/seam_node/filters/place.py
@@ -1,5 +1,6 @@
 """Reserves a decode slot at the owner of a promising decode engine."""
 
+import attrs
 import expression
 
 from seam_model import errors
@@ -72,6 +73,9 @@
             return expression.Error(errors.NoEndpoint(wanted))
         if not self._planner.reserves:
             return expression.Ok(slots.Slot(order[0].name, ""))
+        if ctx.kv_lives():
+            lead_s = ctx.kv.transfer_s
+            order = [attrs.evolve(each, lead_s=lead_s) for each in order]
         return await self._reserve_soonest(ctx, order[:CANDIDATES])
 
     async def _reserve_soonest(
--- a/packages/seam_node/seam_node/filters/retry.py
+++ b/packages/seam_node/seam_node/filters/retry.py
@@ -36,7 +36,8 @@
                 return result
             if not self._may_retry(ctx, result.error, attempts):
                 return result
-            if not self._budget.take():
+            # With a KV cache that lives, another attempt repeats no prefill.
+            if not ctx.kv_lives() and not self._budget.take():
                 ctx.note(self.name, "retry budget is spent")
                 return result
             ctx.attempt += 1
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Any
 
-import attrs
 import expression
 
 from seam_model import endpoints
@@ -21,22 +20,17 @@
 
 PREFILL_TIMEOUT_S = 10.0
 DECODE_TIMEOUT_S = 2.0
-KV_RETRY_MARGIN_S = 0.1
-"""Life that a KV cache must have left for a second transfer."""
+TRANSFER_SLACK_S = 0.15
+TRANSFER_FACTOR = 4.0
+"""Multiple of the expected time after which a transfer counts as stalled."""
 FIRST_STEP_S = 0.03
 """Time kept for the first decode step."""
+FULL_WAIT_SHARE = 0.25
+"""Share of the first token target for which a full engine is tried again."""
 FULL_PAUSE_S = 0.025
 """Pause before an engine that was full is tried again with the same KV."""
 
 
-@attrs.frozen
-class _Prefilled:
-    engine: str
-    url: str
-    kv_handle: str
-    expires_at: float
-
-
 class TransferFilter(base.Filter):
     """Turns a reserved slot into a running stream."""
 
@@ -68,12 +62,13 @@
         ctx.run.incarnation = ids.engine_incarnation(
             ctx.run.generation, ctx.attempt
         )
-        prefilled = await self._prefill(ctx)
-        if prefilled.is_error():
-            return base.fail(prefilled.error)
-        opened = await self._decode(ctx, prefilled.ok)
+        if not ctx.kv_lives():
+            prefilled = await self._prefill_anew(ctx)
+            if prefilled.is_error():
+                return base.fail(prefilled.error)
+            ctx.kv = prefilled.ok
+        opened = await self._decode(ctx, ctx.kv)
         if opened.is_error():
-            self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
             return base.fail(opened.error)
         ctx.note(self.name, "stream open")
         ctx.stream = opened.ok
@@ -86,6 +81,12 @@
 
     # Prefill
 
+    async def _prefill_anew(self, ctx: base.Context) -> expression.Result:
+        if ctx.kv is not None:
+            self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
+            ctx.kv = None
+        return await self._prefill(ctx)
+
     async def _prefill(self, ctx: base.Context) -> expression.Result:
         req = ctx.generate
         choices = self._planner.prefill_order(
@@ -100,10 +101,10 @@
             if ctx.run.stop is not None or not _is_in_time(ctx, booked):
                 self._bookings.withdraw(req, booked.choice.name)
                 return expression.Error(_not_sent(ctx))
-            name = booked.choice.name
-            ready_s = booked.ready_s
+            choice, ready_s = booked.choice, booked.ready_s
         else:
-            name, ready_s = choices[0].name, choices[0].lead_s
+            choice, ready_s = choices[0], choices[0].lead_s
+        name = choice.name
         ctx.note(self.name, f"prefill engine {name}, ready in {ready_s:.3f} s")
         order = endpoints.PrefillOrder(
             req.request_id,
@@ -137,11 +138,12 @@
         ctx.note(self.name, "prefilled")
         record = self._directory.record(name)
         return expression.Ok(
-            _Prefilled(
+            base.HeldKv(
                 name,
                 record.url if record else "",
                 done.ok.kv_handle,
                 ctx.now() + done.ok.life_s,
+                choice.transfer_s,
             )
         )
 
@@ -158,22 +160,26 @@
     # Decode
 
     async def _decode(
-        self, ctx: base.Context, kv: _Prefilled
+        self, ctx: base.Context, kv: base.HeldKv
     ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
         await self._await_slot(ctx, kv)
         may_move_again = True
+        patience_s = FULL_WAIT_SHARE * ctx.generate.targets.first_token_s
+        full_until = max(ctx.now(), ctx.slot_free_at) + patience_s
         while True:
             opened = await self._decode_once(ctx, kv)
             if opened.is_ok() or ctx.run.stop is not None:
                 return opened
-            if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
+            if kv.expires_at - ctx.now() < base.KV_RETRY_MARGIN_S:
                 return opened
             if isinstance(opened.error, errors.TransferFailed):
                 if not may_move_again:
                     return opened
                 may_move_again = False
                 ctx.note(self.name, "transfer retried from the same KV")
-            elif self._is_granted_early(opened.error):
+            elif (
+                self._is_granted_early(opened.error) and ctx.now() < full_until
+            ):
                 # The slot was granted ahead of the end of a running stream.
                 await asyncio.sleep(FULL_PAUSE_S)
             else:
@@ -183,15 +189,15 @@
         full = isinstance(error, errors.EndpointFull)
         return full and self._planner.reserves
 
-    async def _await_slot(self, ctx: base.Context, kv: _Prefilled) -> None:
+    async def _await_slot(self, ctx: base.Context, kv: base.HeldKv) -> None:
         """Waits until the granted slot is free, while the KV cache lives."""
-        until = min(ctx.slot_free_at, kv.expires_at - KV_RETRY_MARGIN_S)
+        until = min(ctx.slot_free_at, kv.expires_at - base.KV_RETRY_MARGIN_S)
         wait_s = until - ctx.now()
         if wait_s > 0:
             await runs.until_stopped(ctx.run, asyncio.sleep(wait_s))
 
     async def _decode_once(
-        self, ctx: base.Context, kv: _Prefilled
+        self, ctx: base.Context, kv: base.HeldKv
     ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
         req = ctx.generate
         name = ctx.decode.name
@@ -204,14 +210,14 @@
             req.max_tokens,
             int(req.rank),
             kv.url,
-            kv.kv_handle,
+            kv.handle,
             self._owner,
             req.adapter,
         )
         self._registry.placed(ids.pack(req.request_id), name)
         self._planner.transfer_started(kv.engine)
         decode = asyncio.ensure_future(
-            self._directory.engine(name).decode(order, DECODE_TIMEOUT_S)
+            self._directory.engine(name).decode(order, _transfer_limit_s(kv))
         )
         try:
             opened = await runs.until_stopped(ctx.run, asyncio.shield(decode))
@@ -231,9 +237,14 @@
         if isinstance(error, errors.TransferFailed | errors.KvExpired):
             return
         ctx.excluded.add(name)
-        if not isinstance(error, errors.EndpointFull):
+        if isinstance(error, errors.EndpointFull):
+            return
+        if isinstance(error, errors.EndpointLost):
+            # One stalled transfer tells little of the engine itself.
+            self._directory.doubt(name)
+        else:
             self._directory.suspect(name)
-            await self._cancel(name, ctx.run)
+        await self._cancel(name, ctx.run)
 
     async def _cancel(self, name: str, run: runs.Run) -> None:
         if self._directory.record(name) is not None:
@@ -242,6 +253,12 @@
             )
 
 
+def _transfer_limit_s(kv: base.HeldKv) -> float:
+    """Returns the time after which a transfer counts as stalled."""
+    expected_s = TRANSFER_SLACK_S + TRANSFER_FACTOR * kv.transfer_s
+    return min(DECODE_TIMEOUT_S, expected_s)
+
+
 def _is_in_time(ctx: base.Context, booked: bookings.Booked) -> bool:
     """Tells whether the first token can still meet its target."""
     waited_s = ctx.now() - ctx.arrived_at
--- a/packages/seam_policy/seam_policy/placement.py
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -86,6 +86,8 @@
 
     reserves: bool
     """Whether a slot is reserved at the engine's owner first."""
+    reads_reports = False
+    """Whether an instance needs the load reports of every decode engine."""
 
     def order(
         self,
@@ -133,6 +135,7 @@
     """Takes the least loaded by lagging load reports; a baseline."""
 
     reserves = False
+    reads_reports = True
 
     def _order(
         self,
