--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -305,11 +305,15 @@
 
     # The platform
 
+    def defaults(self, shipped: config.Defaults) -> config.Defaults:
+        """Returns the fleet's defaults, before models and services."""
+        return shipped
+
     async def write_config(self) -> None:
         """Writes the first fleet configuration."""
         shipped = config_check.initial()
         defaults = attrs.evolve(
-            shipped.defaults,
+            self.defaults(shipped.defaults),
             models={MODEL: config.ModelRule(1000, 60000)},
             services={
                 SERVICE: {
