--- a/bench/speed.py
+++ b/bench/speed.py
@@ -29,11 +29,13 @@
 FIRST_TOKEN_REQUESTS = 150
 CALL_COUNT = 4000
 CALL_WORKERS = 16
-STREAMS = 60
-STREAM_TOKENS = 2000
+STREAMS = 150
+STREAM_TOKENS = 1500
 OPEN_STREAMS = 200
 LOADERS = 3
 READ_BYTES = 1 << 20
+SEND_TRIES = 50
+SEND_PAUSE_S = 0.1
 MEASURES = ("first_token", "relay", "calls", "memory")
 
 
@@ -115,23 +117,25 @@
     return reader, writer
 
 
-async def _drain(target: Target, body: dict[str, Any]) -> int:
-    """Sends one request and returns how many events came."""
-    reader, writer = await _post(target, body)
-    count = 0
-    while data := await reader.read(READ_BYTES):
-        count += data.count(b"id: ")
-    writer.close()
-    return count
+async def _drain(target: Target, rng: random.Random, tokens: int) -> int:
+    """Sends a request until it is taken; returns how many events came."""
+    for _ in range(SEND_TRIES):
+        reader, writer = await _post(target, _body(rng, tokens))
+        count = 0
+        while data := await reader.read(READ_BYTES):
+            count += data.count(b"id: ")
+        writer.close()
+        if count:
+            return count
+        await asyncio.sleep(SEND_PAUSE_S)
+    return 0
 
 
 def _stream_load(target: Target, streams: int, seed: int, out: Any) -> None:
     rng = random.Random(seed)
 
     async def run() -> int:
-        jobs = [
-            _drain(target, _body(rng, STREAM_TOKENS)) for _ in range(streams)
-        ]
+        jobs = [_drain(target, rng, STREAM_TOKENS) for _ in range(streams)]
         return sum(await asyncio.gather(*jobs))
 
     out.put(asyncio.run(run()))
@@ -321,8 +325,8 @@
         before = self._process.memory_info().rss
         jobs = []
         for _ in range(OPEN_STREAMS):
-            body = _body(self._rng, 4000)
-            jobs.append(asyncio.ensure_future(_drain(self._target, body)))
+            work = _drain(self._target, self._rng, 4000)
+            jobs.append(asyncio.ensure_future(work))
         await asyncio.sleep(4.0)
         grown = self._process.memory_info().rss - before
         still = sum(not job.done() for job in jobs)
--- a/packages/seam_node/seam_node/adapters/engine_stream.py
+++ b/packages/seam_node/seam_node/adapters/engine_stream.py
@@ -72,6 +72,8 @@
         self._closed = False
         self._ended = False
         self._wake: asyncio.Future | None = None
+        self._waiting_since = 0.0
+        self._timer: asyncio.TimerHandle | None = None
         self._head: asyncio.Future | None = None
         self._status = 0
 
@@ -137,19 +139,38 @@
     async def _wait(self) -> bool:
         loop = asyncio.get_running_loop()
         self._wake = loop.create_future()
-        timer = loop.call_later(self._silence_s, self._notify, False)
+        self._waiting_since = loop.time()
+        if self._timer is None:
+            self._check_silence()
         try:
             return await self._wake
         finally:
-            timer.cancel()
             self._wake = None
 
+    def _check_silence(self) -> None:
+        """Ends a wait that lasted too long; one timer serves all waits."""
+        if self._closed or self._ended:
+            return
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        due = now + self._silence_s
+        if self._wake is not None:
+            due = self._waiting_since + self._silence_s
+        if due <= now:
+            self._timer = None
+            self._notify(False)
+            return
+        self._timer = loop.call_at(due, self._check_silence)
+
     def _notify(self, heard: bool) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(heard)
 
     def _abort(self) -> None:
         self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         self._resume_transfer()
         self._notify(False)
 
--- a/packages/seam_node/seam_node/filters/stream.py
+++ b/packages/seam_node/seam_node/filters/stream.py
@@ -76,16 +76,14 @@
                 if resumed.is_error():
                     return resumed
                 continue
-            if not await self._proved(ctx.run):
+            held = self._proof.holds(ctx.run)
+            if not held and not await self._proof.renew(ctx.run):
                 await runs.stop_run(ctx.run, runs.Stop.HANDED_OVER)
                 continue
             lost = 0
             if await self._send(ctx, chunk):
                 return base.OK
 
-    async def _proved(self, run: runs.Run) -> bool:
-        return self._proof.holds(run) or await self._proof.renew(run)
-
     async def _send(
         self, ctx: base.Context, chunk: endpoints.TokenChunk
     ) -> bool:
--- a/packages/seam_node/seam_node/web/callers.py
+++ b/packages/seam_node/seam_node/web/callers.py
@@ -71,10 +71,39 @@
         """Sends events; False once the caller is gone or reads too slowly."""
         if self._gone:
             return False
-        if not self.started:
+        if self.started:
+            data = self._send_now(data)
+            if not data:
+                return not self._gone
+        else:
             self.started = True
             self._handler.set_header("Content-Type", EVENT_STREAM)
             self._handler.set_header("Cache-Control", "no-store")
+        return await self._queue(data)
+
+    def _send_now(self, data: bytes) -> bytes:
+        """Sends a chunk on a connection that has nothing queued.
+
+        It passes tornado's buffers, which cost more than the send. Returns
+        what is to be queued instead: all of it, or nothing.
+        """
+        conn = self._handler.request.connection
+        stream = conn.stream
+        if not conn._chunking_output or stream.closed() or stream.writing():
+            return data
+        framed = b"%x\r\n%b\r\n" % (len(data), data)
+        try:
+            sent = stream.socket.send(framed)
+        except BlockingIOError:
+            return data
+        except OSError:
+            self.closed()
+            return b""
+        if sent < len(framed):
+            stream.write(framed[sent:])
+        return b""
+
+    async def _queue(self, data: bytes) -> bool:
         self._handler.write(data)
         try:
             flushed = self._handler.flush()
