--- a/packages/seam_node/seam_node/adapters/peer_link.py
+++ b/packages/seam_node/seam_node/adapters/peer_link.py
@@ -48,8 +48,10 @@
         key: bytes,
         refused: Callable[[errors.PeerUnauthenticated], None],
         silence_s: float = SILENCE_LIMIT_S,
+        traffic: peer_stream.Traffic | None = None,
     ):
         """Names both ends; `own.nonce` is replaced for each handshake."""
+        self._traffic = traffic
         self.record = record
         self._own = own
         self._key = key
@@ -129,7 +131,7 @@
             self.record.peer_host, self.record.peer_port
         )
         stream.set_nodelay(True)
-        frames = peer_stream.FrameStream(stream)
+        frames = peer_stream.FrameStream(stream, self._traffic)
         try:
             await self._shake_hands(frames)
         except BaseException:
--- a/packages/seam_node/seam_node/adapters/peer_stream.py
+++ b/packages/seam_node/seam_node/adapters/peer_stream.py
@@ -4,6 +4,7 @@
 import collections
 from typing import Any
 
+import attrs
 import msgpack
 from tornado import iostream
 
@@ -12,12 +13,26 @@
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 
+@attrs.define
+class Traffic:
+    """What one instance has sent and received on all its links."""
+
+    sent: int = 0
+    """Bytes, as are the received ones."""
+    received: int = 0
+    frames: int = 0
+    """Frames sent."""
+
+
 class FrameStream:
     """Reads and writes msgpack values on one connection."""
 
-    def __init__(self, stream: iostream.IOStream):
-        """Wraps a connected stream."""
+    def __init__(
+        self, stream: iostream.IOStream, traffic: Traffic | None = None
+    ):
+        """Wraps a connected stream; `traffic` counts what passes."""
         self.stream = stream
+        self._traffic = traffic or Traffic()
         self.stream.max_write_buffer_size = MAX_UNSENT_BYTES
         self._unpacker = msgpack.Unpacker(
             max_buffer_size=MAX_FRAME_BYTES, use_list=True, raw=False
@@ -34,6 +49,7 @@
         """
         while not self._ready:
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
+            self._traffic.received += len(data)
             self._feed(data)
         return self._ready.popleft()
 
@@ -41,6 +57,7 @@
         """Queues a value for the write at the end of this loop tick."""
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
+        self._traffic.frames += 1
         self._unsent += msgpack.packb(value, use_bin_type=True)
 
     def close(self) -> None:
@@ -59,6 +76,7 @@
         data, self._unsent = bytes(self._unsent), bytearray()
         if not data or self.stream.closed():
             return
+        self._traffic.sent += len(data)
         try:
             self.stream.write(data)
         except iostream.StreamClosedError:
--- a/packages/seam_node/seam_node/adapters/peer_tcp.py
+++ b/packages/seam_node/seam_node/adapters/peer_tcp.py
@@ -65,6 +65,7 @@
         self._host = host
         self._port = port
         self._key = key
+        self.traffic = peer_stream.Traffic()
         self._refused = refused
         self._failed = failed
         self._silence_s = silence_s
@@ -124,7 +125,12 @@
         for name, record in wanted.items():
             if name not in self._links:
                 self._links[name] = peer_link.PeerLink(
-                    self._own, record, self._key, self._refused, self._silence_s
+                    self._own,
+                    record,
+                    self._key,
+                    self._refused,
+                    self._silence_s,
+                    self.traffic,
                 )
 
     async def request(
@@ -178,7 +184,7 @@
 
     async def _accept(self, stream: iostream.IOStream) -> None:
         stream.set_nodelay(True)
-        frames = peer_stream.FrameStream(stream)
+        frames = peer_stream.FrameStream(stream, self.traffic)
         self._accepted.add(frames)
         try:
             sender = await asyncio.wait_for(
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -65,6 +65,7 @@
         self._defaults = defaults
         self._clock = clk
         self._ledgers: dict[str, ledger.SlotLedger] = {}
+        self._busy = asyncio.Event()
         self._waiting: dict[tuple[str, bytes], asyncio.Future] = {}
         network.handle(peers.SlotRequest, self._on_request)
         network.handle(peers.SlotRelease, self._on_release)
@@ -107,9 +108,11 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            await self._busy.wait()
             await asyncio.sleep(TICK_S)
-            if self._waiting:
-                self.tell(_Tick())
+            self.tell(_Tick())
+            if not self._waiting:
+                self._busy.clear()
 
     # Messages
 
@@ -120,6 +123,7 @@
             fut.set_result(peers.SlotAnswer(False, NOT_OWNER, 0, 0.0))
             return fut
         self._waiting[(message.engine, message.request_id)] = fut
+        self._busy.set()
         ask = ledger.SlotAsk(
             message.request_id,
             message.rank,
--- a/packages/seam_node/seam_node/daemon.py
+++ b/packages/seam_node/seam_node/daemon.py
@@ -1,6 +1,7 @@
 """The binary `sycamoreseamd`: runs one entry instance."""
 
 import asyncio
+import functools
 import pathlib
 import random
 import signal
@@ -19,6 +20,7 @@
 from seam_node import metrics
 from seam_node import node
 from seam_node.adapters import engine_http
+from seam_node.adapters import peer_stream
 from seam_node.adapters import peer_tcp
 from seam_node.adapters import platform_http
 from seam_node.adapters import service_http
@@ -98,6 +100,7 @@
     instance = node.Node(
         settings, record, ports, random.Random(incarnation), meter=meter
     )
+    _show_traffic(instance, network.traffic)
     _leave_on_signals(instance)
     await instance.start()
     server = callers.make_server(instance)
@@ -127,6 +130,17 @@
     eliot.add_destinations(logs.Destination(stream, settings.level))
 
 
+def _show_traffic(instance: node.Node, traffic: peer_stream.Traffic) -> None:
+    for name, text in (
+        ("sent", "Bytes sent to other instances."),
+        ("received", "Bytes received from other instances."),
+        ("frames", "Messages sent to other instances."),
+    ):
+        instance.metrics.gauge(
+            f"seam_peer_{name}", text, functools.partial(getattr, traffic, name)
+        )
+
+
 def _leave_on_signals(instance: node.Node) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/seam_node/seam_node/metrics.py
+++ b/packages/seam_node/seam_node/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of one instance; no label ever holds a request or workspace."""
 
+from collections.abc import Callable
+
 import prometheus_client
 
 _TIME_BUCKETS_S = (
@@ -93,6 +95,11 @@
             name, text, labels, registry=self.registry
         )
 
+    def gauge(self, name: str, text: str, source: Callable[[], float]) -> None:
+        """Adds a gauge whose value `source` returns when it is read."""
+        gauge = prometheus_client.Gauge(name, text, registry=self.registry)
+        gauge.set_function(source)
+
     def request_ended(
         self, kind: str, rank: str, outcome: str, took_s: float
     ) -> None:
