Read the fleet list only when it changed

Now the read names the entity tag that is held; 304 keeps the held list. Red: test_unchanged_list_is_not_sent_again without the change (no tag). Weighed: a longer period; ruled out, the registry counts on instances knowing a changed list within 10 s.

--- a/packages/seam_node/seam_node/adapters/platform_http.py
+++ b/packages/seam_node/seam_node/adapters/platform_http.py
@@ -25,6 +25,7 @@
 WATCH_MARGIN_S = 1.0
 """How long after its end the answer of a watch may come."""
 NO_CONTENT = 204
+NOT_MODIFIED = 304
 NOT_FOUND = 404
 CONFLICT = 409
 _OK = (200, NO_CONTENT)
@@ -48,6 +49,8 @@
     body: bytes | None = None
     expected: int | None = None
     wait_s: float = 0.0
+    tag: str = ""
+    """Entity tag of the answer that is held already."""
 
 
 class HttpPlatform(platform.Platform):
@@ -60,6 +63,8 @@
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._client: Any = None
         self._kept = curl.KeptConnections()
+        self._fleet: endpoints.FleetList | None = None
+        self._fleet_tag = ""
 
     async def start(self) -> None:
         """Opens the client."""
@@ -136,11 +141,19 @@
         self,
     ) -> expression.Result[endpoints.FleetList, errors.PlatformError]:
         """Returns the lagging list of instances and endpoints."""
-        result = await self._send(_Call("fleet", "GET", "/v1/fleet"))
+        result = await self._send(
+            _Call("fleet", "GET", "/v1/fleet", tag=self._fleet_tag)
+        )
         if result.is_error():
             return result
+        if result.ok.code == NOT_MODIFIED:
+            return expression.Ok(self._fleet)
         listed = codec.from_json(result.ok.body, endpoints.FleetList)
-        return listed.map_error(lambda _: errors.PlatformUnavailable("fleet"))
+        if listed.is_error():
+            return expression.Error(errors.PlatformUnavailable("fleet"))
+        self._fleet = listed.ok
+        self._fleet_tag = result.ok.headers.get("Etag", "")
+        return listed
 
     async def announce(
         self, record: endpoints.InstanceRecord
@@ -165,6 +178,8 @@
             return expression.Error(_failure(call, exc))
         if resp.code == NOT_FOUND and call.operation in ("get", "watch"):
             return expression.Ok(resp)
+        if resp.code == NOT_MODIFIED and call.tag:
+            return expression.Ok(resp)
         if resp.code in (*_OK, CONFLICT):
             return expression.Ok(resp)
         return expression.Error(_failure(call, resp.error))
@@ -173,6 +188,8 @@
         headers = dict(self._headers)
         if call.expected is not None:
             headers["If-Version"] = str(call.expected)
+        if call.tag:
+            headers["If-None-Match"] = call.tag
         limit_s = self._timeout_s
         if call.wait_s:
             limit_s = call.wait_s + min(limit_s, WATCH_MARGIN_S)
--- a/tests/seam_node/adapters/test_platform_http.py
+++ b/tests/seam_node/adapters/test_platform_http.py
@@ -117,3 +117,22 @@
         assert error == errors.PlatformUnavailable(operation)
 
     run(scenario)
+
+
+def test_unchanged_list_is_not_sent_again():
+    async def scenario(client, core, faults, server):
+        core.register(
+            endpoints.EndpointRecord("d1", "engine", "http://x", "cebu-a")
+        )
+        first = (await client.fleet()).ok
+        tag = client._fleet_tag
+        assert tag
+        assert (await client.fleet()).ok is first
+        core.register(
+            endpoints.EndpointRecord("d2", "engine", "http://y", "cebu-a")
+        )
+        changed = (await client.fleet()).ok
+        assert [each.name for each in changed.endpoints] == ["d1", "d2"]
+        assert client._fleet_tag != tag
+
+    run(scenario)
