--- a/packages/seam_ctl/seam_ctl/fleet_cmds.py
+++ b/packages/seam_ctl/seam_ctl/fleet_cmds.py
@@ -139,7 +139,7 @@
             (
                 each.name,
                 each.data_centre,
-                each.state + (f": {each.not_ready}" if each.not_ready else ""),
+                _state(each),
                 each.config_version or "",
                 each.in_progress,
                 each.live_peers,
@@ -150,7 +150,7 @@
         f"instances, asked {found.asked}",
     )
     books = {
-        book.engine: book
+        book.name: book
         for instance in found.instances
         for book in instance.ledgers
     }
@@ -170,6 +170,41 @@
         (_endpoint_row(each, books.get(each.name)) for each in found.endpoints),
         "endpoints",
     )
+    _show_calls(found)
+
+
+def _show_calls(found: admin.FleetStatus) -> None:
+    rows = [
+        (
+            each.name,
+            book.name,
+            book.usable,
+            book.granted,
+            book.waiting_urgent,
+            book.waiting_other,
+        )
+        for each in found.instances
+        for book in each.services
+    ]
+    if rows:
+        output.table(
+            (
+                "instance",
+                "service",
+                "calls allowed",
+                "running",
+                "urgent waiting",
+                "other waiting",
+            ),
+            rows,
+            "calls of plain services",
+        )
+
+
+def _state(each: admin.InstanceStatus) -> str:
+    notes = [each.not_ready] if each.not_ready else []
+    notes += ["mirror is warming"] if each.warming else []
+    return ": ".join((each.state, *notes))
 
 
 def _endpoint_row(
