--- a/packages/seam_model/seam_model/config.py
+++ b/packages/seam_model/seam_model/config.py
@@ -4,11 +4,13 @@
 and its place in the audit trail are written together or not at all.
 """
 
+from collections.abc import Mapping
 import functools
 from typing import Any
 
 import attrs
 
+from seam_model import claims
 from seam_model import endpoints
 from seam_model import requests
 from seam_model import toml_check
@@ -18,37 +20,46 @@
 CHANGES_KEPT = 50
 """Changes that the object itself holds; older ones are moved out."""
 OBJECT_MAX_BYTES = 512 * 1024
+REFUSE_AFTER_LIMIT_S = 3.0
+"""Longest time for which a leaving instance may still take new work."""
+RESUME_WINDOW_LIMIT_S = 60.0
+"""Longest time for which an engine keeps what its caller left."""
 RANK_NAMES: tuple[str, ...] = ("urgent", "other")
 """Names in exceptions' scopes, in the order of `requests.Rank`."""
 
-OVERRIDABLE = frozenset(
-    {
-        "admission.queue_limit",
-        "admission.urgent_reserve",
-        "admission.other_floor",
-        "deadlines.max_s",
-        "deadlines.other_s",
-        "deadlines.token_gap_s",
-        "deadlines.urgent_s",
-        "entry.cache_s",
-        "entry.width",
-        "hedge.after_ratio",
-        "hedge.budget_ratio",
-        "hedge.enabled",
-        "resume_window_s",
-        "retry.budget_ratio",
-        "retry.max_attempts",
-        "targets.other.first_token_s",
-        "targets.other.per_token_s",
-        "targets.urgent.first_token_s",
-        "targets.urgent.per_token_s",
-        "weights.bytes_per_s",
-        "workspace.burst",
-        "workspace.concurrency",
-        "workspace.rate_per_s",
-    }
-)
-"""Dotted keys of defaults that an exception may set."""
+_REQUEST = ("workspace", "model", "data_centre", "rank")
+_CALL = ("workspace", "data_centre", "rank")
+_WORKSPACE = ("workspace", "data_centre")
+_ENGINE = ("engine", "data_centre")
+_INSTANCE = ("data_centre",)
+
+OVERRIDABLE: Mapping[str, tuple[str, ...]] = {
+    "admission.queue_limit": _ENGINE,
+    "admission.urgent_reserve": _ENGINE,
+    "admission.other_floor": _ENGINE,
+    "deadlines.max_s": _REQUEST,
+    "deadlines.other_s": _REQUEST,
+    "deadlines.urgent_s": _REQUEST,
+    "entry.cache_s": _WORKSPACE,
+    "entry.width": _WORKSPACE,
+    "hedge.budget_ratio": _INSTANCE,
+    "hedge.enabled": _CALL,
+    "retry.budget_ratio": _INSTANCE,
+    "retry.max_attempts": _REQUEST,
+    "targets.other.first_token_s": _REQUEST,
+    "targets.other.per_token_s": _REQUEST,
+    "targets.urgent.first_token_s": _REQUEST,
+    "targets.urgent.per_token_s": _REQUEST,
+    "workspace.burst": _WORKSPACE,
+    "workspace.concurrency": _WORKSPACE,
+    "workspace.rate_per_s": _WORKSPACE,
+}
+"""Dotted keys that an exception may set, and what its scope may name.
+
+A setting is looked up with these fields of the scope only, so that an
+exception which names another one would never be in force. The data centre is
+the engine's for `admission`, else that of the instance.
+"""
 
 
 def _ratio() -> Any:
@@ -75,6 +86,10 @@
     urgent_reserve: float = _ratio()
     """Share of each engine that only urgent work may take."""
     queue_limit: int = _count()
+    service_slots: int = _count()
+    """Calls in progress from one instance at one endpoint of a service."""
+    service_target_s: float = _seconds()
+    """Time of a service call above which fewer are let in at once."""
 
 
 @attrs.frozen
@@ -97,8 +112,6 @@
     other_s: float = _seconds()
     max_s: float = _seconds()
     """Longest deadline that a caller may ask for."""
-    token_gap_s: float = _seconds()
-    """Silence after which a stream's connection is given up."""
 
     def of(self, rank: requests.Rank) -> float:
         """Returns the deadline of a rank, in seconds."""
@@ -125,20 +138,19 @@
 
 @attrs.frozen
 class Hedge:
-    """When a second prefill or service call is started for a late one."""
+    """Whether a second service call is started for a late idempotent one."""
 
     enabled: bool
-    after_ratio: float = _ratio()
-    """Share of the target that passes before a hedge."""
     budget_ratio: float = _ratio()
+    """Second calls allowed for each call that succeeded."""
 
 
 @attrs.frozen
 class Orders:
     """Time window of idempotency keys."""
 
-    bucket_s: float = _seconds()
-    window_s: float = _seconds()
+    window_s: float = toml_check.limits(above=0, high=claims.WINDOW_S)
+    """Age up to which a key is taken; claims are kept for the longest one."""
 
 
 @attrs.frozen
@@ -154,7 +166,7 @@
 class Drain:
     """How an instance leaves."""
 
-    refuse_after_s: float = toml_check.limits(high=3600)
+    refuse_after_s: float = toml_check.limits(high=REFUSE_AFTER_LIMIT_S)
 
 
 @attrs.frozen
@@ -170,7 +182,8 @@
 
     kv_bytes_per_token: int = _count()
     max_prompt_tokens: int = _count()
-    adapters: tuple[str, ...] = ()
+    weight_bytes: int = toml_check.limits(high=10**15, default=0)
+    """Size in the weight store; needed for models of `engines`."""
 
 
 @attrs.frozen
@@ -189,13 +202,18 @@
     models: tuple[str, ...]
     adapters: tuple[str, ...] = ()
     checks_fence: bool = False
+    """Whether the engine refuses orders with an old fencing number."""
+    adapts: bool = False
+    """Whether measured demand, in place of `role`, decides on the role."""
 
 
 @attrs.frozen
 class Defaults:
     """Settings of the whole fleet, or those in force for a scope."""
 
-    resume_window_s: float = _seconds()
+    resume_window_s: float = toml_check.limits(
+        above=0, high=RESUME_WINDOW_LIMIT_S
+    )
     admission: Admission
     targets: RankTargets
     deadlines: Deadlines
@@ -299,6 +317,11 @@
         return Draft(self.defaults, self.exceptions)
 
 
+def audit_key(version: int) -> str:
+    """Returns the key of a change that was moved out of the object."""
+    return f"{AUDIT_PREFIX}{version:06d}"
+
+
 # Resolving
 
 
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -38,6 +38,14 @@
         self.error = error
 
 
+@attrs.frozen
+class Internal(SeamError):
+    """A fault of the product itself; the log has the traceback."""
+
+    code = "internal"
+    kind: str
+
+
 # Platform
 
 
@@ -237,6 +245,14 @@
     limit: int
 
 
+@attrs.frozen
+class BodyTooSlow(SeamError):
+    """The body did not arrive in time."""
+
+    code = "body_too_slow"
+    limit_s: float
+
+
 @attrs.frozen
 class BodyUnreadable(SeamError):
     """The request body is not valid JSON."""
@@ -276,6 +292,8 @@
 
     code = "key_outside_window"
     key: str
+    may_have_run: bool = True
+    """Whether an earlier attempt with the key may have been accepted."""
 
 
 @attrs.frozen
@@ -377,6 +395,13 @@
     key: str
 
 
+@attrs.frozen
+class IdTaken(SeamError):
+    """The request id belongs to a run of another workspace."""
+
+    code = "id_taken"
+
+
 @attrs.frozen
 class RunUnknown(SeamError):
     """A majority of the mirrors knows no run of the id."""
@@ -422,12 +447,67 @@
 
 @attrs.frozen
 class Denied(SeamError):
-    """The operator's token is unknown or lacks the role."""
+    """The operator's token lacks the role."""
 
     code = "denied"
     needed: str
 
 
+@attrs.frozen
+class InputInvalid(SeamError):
+    """An operator's request has problems, all of them listed."""
+
+    code = "input_invalid"
+    problems: tuple[BadInput, ...]
+
+    def describe(self) -> str:
+        """Returns one line for each problem."""
+        return list_problems(self.code, self.problems)
+
+
+@attrs.frozen
+class TokenUnknown(SeamError):
+    """The operator's token is missing or unknown."""
+
+    code = "token_unknown"
+
+
+@attrs.frozen
+class NotFound(SeamError):
+    """What the operator named does not exist."""
+
+    code = "not_found"
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class AdminUnreachable(SeamError):
+    """No answer came from an instance's operators' address."""
+
+    code = "admin_unreachable"
+    url: str
+    sent: bool
+    """Whether an instance may have received a request to change something."""
+
+
+@attrs.frozen
+class AdminAnswerUnknown(SeamError):
+    """The answer is not one that this program knows."""
+
+    code = "admin_answer_unknown"
+    status: int
+    detail: str
+
+
+@attrs.frozen
+class ProfileInvalid(SeamError):
+    """The operator's profile or environment lacks what a command needs."""
+
+    code = "profile_invalid"
+    problem: str
+
+
 @attrs.frozen
 class ConfigConflict(SeamError):
     """Another change was accepted first."""
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -44,6 +44,8 @@
     """1 for a first run; a takeover uses one more than the run it replaces."""
     instance: str
     incarnation: int
+    tag: bytes
+    """Binds the id to its workspace; see `ids.workspace_tag`."""
 
 
 @attrs.frozen
@@ -100,6 +102,7 @@
     """
 
     request_id: bytes
+    tag: bytes
 
 
 @attrs.frozen
@@ -119,6 +122,7 @@
     incarnations: tuple[int, ...]
     engines: tuple[str, ...]
     ended: tuple[str, ...]
+    tags: tuple[bytes, ...]
 
 
 @attrs.frozen
@@ -143,6 +147,7 @@
     """Asks the instance that relays a stream to cancel it."""
 
     request_id: bytes
+    tag: bytes
 
 
 @attrs.frozen
@@ -179,9 +184,11 @@
     granted: bool
     reason: str
     room: int
-    """Free slots that the owner counts after this answer."""
+    """Free slots for the rank that asked, after this answer."""
     wait_s: float
-    """Estimated wait for an urgent request that asks now."""
+    """Estimated wait for a request of that rank that asks now."""
+    delay_s: float = 0.0
+    """Expected time until a granted slot is free."""
 
 
 @attrs.frozen
@@ -195,6 +202,36 @@
     failed: bool
 
 
+# Prefills
+
+
+@attrs.frozen
+class PrefillBook:
+    """Tells a prefill engine's owner of a prefill that is about to be sent."""
+
+    request_id: bytes
+    engine: str
+    rank: int
+    work_s: float
+    """Time that the prefill takes without any wait."""
+
+
+@attrs.frozen
+class PrefillBooked:
+    """Answers a booking."""
+
+    wait_s: float
+    """Expected wait at the engine."""
+
+
+@attrs.frozen
+class PrefillWithdraw:
+    """Takes back a booking whose prefill is not sent."""
+
+    request_id: bytes
+    engine: str
+
+
 # Orders
 
 
@@ -262,3 +299,34 @@
 
     version: int
     data: bytes
+    in_force: bool = True
+    """Whether the sender serves by it; false while the sender starts."""
+
+
+# Operators' questions
+
+
+@attrs.frozen
+class StatusQuery:
+    """Asks an instance for its `admin.InstanceStatus`."""
+
+
+@attrs.frozen
+class StatusAnswer:
+    """An `admin.InstanceStatus` as JSON."""
+
+    data: bytes
+
+
+@attrs.frozen
+class TraceQuery:
+    """Asks an instance how a request went there."""
+
+    request: str
+
+
+@attrs.frozen
+class TraceAnswer:
+    """An `admin.RequestTrace` as JSON; empty for an unknown request."""
+
+    data: bytes
--- a/packages/seam_model/seam_model/settings.py
+++ b/packages/seam_model/seam_model/settings.py
@@ -15,6 +15,8 @@
 
 PORT_MAX = 65535
 MS_PER_S = 1000.0
+LEASE_MIN_S = 10.0
+"""Twice the timeout of a model order, so that one fits into a lease."""
 _SECRET_PATTERN = rf"([0-9a-fA-F]{{2}}){{{keys.SECRET_MIN_BYTES},}}"
 _SECRET_ALLOWED = f"hex of at least {keys.SECRET_MIN_BYTES} bytes"
 _SECRET_BOUNDS = {
@@ -84,7 +86,6 @@
 
     url: str = toml_check.limits(pattern=_URL_PATTERN, allowed=_URL_ALLOWED)
     timeout_s: float = _seconds()
-    token_file: str = ""
 
 
 @attrs.frozen
@@ -163,18 +164,12 @@
 class TimingSettings:
     """Periods and time limits, in seconds."""
 
-    heartbeat_s: float = _seconds()
-    suspect_s: float = _seconds()
-    """Silence after which a peer is taken for dead."""
-    fleet_poll_s: float = _seconds()
-    announce_s: float = _seconds()
     watch_s: float = _seconds()
     """Longest wait of one watch call."""
     config_silent_s: float = _seconds()
     """Silence of platform and peers after which new work is refused."""
-    lease_s: float = _seconds()
-    stop_limit_s: float = _seconds()
-    """Longest time to wait for running requests when leaving."""
+    lease_s: float = toml_check.limits(low=LEASE_MIN_S, high=3600)
+    """Duration of a lease on model orders."""
 
 
 @attrs.frozen
@@ -270,15 +265,7 @@
     for name in distances if isinstance(distances, dict) else ():
         if name.count("/") != 1 or name[0] == "/" or name[-1] == "/":
             checker.add(f"distances.one_way_ms.{name}", name, "a/b")
-    timing = _section(plain, "timing")
-    pace, silence = timing.get("heartbeat_s"), timing.get("suspect_s")
-    if _numbers(pace, silence) and silence <= pace:
-        checker.add("timing.suspect_s", silence, f"more than {pace}")
 
 
 def _reported(checker: toml_check.Checker, prefix: str) -> bool:
     return any(p.field.startswith(prefix) for p in checker.problems)
-
-
-def _numbers(*values: Any) -> bool:
-    return all(isinstance(value, int | float) for value in values)
--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -25,6 +25,8 @@
 RETRY_S = 0.5
 PEER_TIMEOUT_S = 2.0
 SETTLE_TRIES = 6
+PROBES_PER_SILENCE = 8
+"""Chances to ask the platform within the longest silence allowed."""
 
 Listener = Callable[[config.FleetConfig], None]
 
@@ -84,6 +86,7 @@
         """Starts following the platform and peers."""
         await super().start()
         self.spawn(self._follow())
+        self.spawn(self._probe())
 
     async def receive(self, message: Any) -> None:
         """Fetches from a peer that named a higher version."""
@@ -124,7 +127,7 @@
         """
         silent_s = max(0.0, now - self._heard_at)
         if silent_s > self._silent_s:
-            return expression.Error(errors.ConfigStale(silent_s))
+            return expression.Error(errors.ConfigStale(round(silent_s, 1)))
         return expression.Ok(silent_s)
 
     def _held(self) -> int:
@@ -158,6 +161,19 @@
             if not self._take(result):
                 await asyncio.sleep(RETRY_S)
 
+    async def _probe(self) -> None:
+        """Reads the object when no peer was heard for a while.
+
+        A watch may wait longer than the longest silence that is allowed, and
+        an instance without peers hears nothing else.
+        """
+        period_s = self._silent_s / PROBES_PER_SILENCE
+        while True:
+            await asyncio.sleep(period_s)
+            silent_s = self._clock.monotonic() - self._heard_at
+            if self._confirmed and silent_s > 2 * period_s:
+                self._take(await self._platform.get(config.CONFIG_KEY))
+
     def _is_missing(self, result: expression.Result) -> bool:
         return result.is_error() and isinstance(
             result.error, errors.ObjectMissing
@@ -185,15 +201,21 @@
         return True
 
     async def _ask_peers(self) -> None:
-        """Takes the live peers' word while the platform is down."""
+        """Takes the live peers' word while the platform is down.
+
+        Every one must answer, and one of them must serve: peers that start
+        at the same time know no more than this instance.
+        """
         names = tuple(self._live_peers())
         answers = await asyncio.gather(*(self._fetch(name) for name in names))
-        if names and all(answers) and self._cfg is not None:
+        if None in answers or self._cfg is None:
+            return
+        if any(answer.in_force for answer in answers):
             self._confirmed = True
             self._note_served()
 
-    async def _fetch(self, peer: str) -> bool:
-        """Returns whether the peer said what it has."""
+    async def _fetch(self, peer: str) -> peers.ConfigObject | None:
+        """Returns what the peer said, or None if it said nothing usable."""
         self._fetching.add(peer)
         message = peers.ConfigFetch(self._held())
         try:
@@ -201,23 +223,23 @@
         finally:
             self._fetching.discard(peer)
         if result.is_error() or not isinstance(result.ok, peers.ConfigObject):
-            return False
+            return None
         self._heard_at = self._clock.monotonic()
         self._highest = max(self._highest, result.ok.version)
         if result.ok.data:
             decoded = config_check.decode(result.ok.data)
             if decoded.is_error():
-                return False
+                return None
             self._offer(decoded.ok)
-        return True
+        return result.ok
 
     async def _answer_fetch(
         self, _peer: str, message: peers.ConfigFetch
     ) -> peers.ConfigObject:
         if self._cfg is None or self._cfg.version <= message.above_version:
-            return peers.ConfigObject(self.version(), b"")
+            return peers.ConfigObject(self.version(), b"", self._served)
         data = config_check.encode(self._cfg)
-        return peers.ConfigObject(self._cfg.version, data)
+        return peers.ConfigObject(self._cfg.version, data, self._served)
 
     # Changing
 
@@ -340,7 +362,7 @@
         self, change: config.Change
     ) -> expression.Result[None, errors.PlatformError]:
         """Writes an accepted change to its own object, once for ever."""
-        key = f"{config.AUDIT_PREFIX}{change.version:06d}"
+        key = config.audit_key(change.version)
         data = config_check.encode(change)
         result = await self._platform.put(key, data, platform_port.ABSENT)
         if result.is_error() and not isinstance(
--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -31,6 +31,17 @@
     report: endpoints.LoadReport
 
 
+@attrs.frozen
+class _Asker:
+    fut: asyncio.Future
+    rank: int
+
+
+@attrs.frozen
+class Reconfigure:
+    """Asks the controller to apply changed settings to its ledgers."""
+
+
 @attrs.frozen
 class _Tick:
     pass
@@ -64,10 +75,13 @@
         directory: engines.EngineDirectory,
         owners: ownership.Ownership,
         network: peer.PeerNetwork,
-        defaults: Callable[[], config.Defaults | None],
+        defaults: Callable[[endpoints.EndpointRecord], config.Defaults | None],
         clk: clock.Clock,
     ):
-        """Registers the slot messages' handlers."""
+        """Registers the slot messages' handlers.
+
+        `defaults` returns the settings in force for an engine.
+        """
         super().__init__("owner")
         self._self_name = self_name
         self._directory = directory
@@ -75,7 +89,7 @@
         self._defaults = defaults
         self._clock = clk
         self._ledgers: dict[str, ledger.SlotLedger] = {}
-        self._waiting: dict[tuple[str, bytes], asyncio.Future] = {}
+        self._waiting: dict[tuple[str, bytes], _Asker] = {}
         self._unread: dict[str, list[_Held]] = {}
         """Asks for engines whose ledgers are new, by engine."""
         network.handle(peers.SlotRequest, self._on_request)
@@ -102,6 +116,8 @@
                 self._answer_held(report.engine)
             case _Unread(engine):
                 self._answer_held(engine)
+            case Reconfigure():
+                self._reconfigure()
             case _Tick():
                 self._tick()
         return None
@@ -144,7 +160,8 @@
         message: peers.SlotRequest,
         fut: asyncio.Future,
     ) -> None:
-        self._waiting[(message.engine, message.request_id)] = fut
+        key = (message.engine, message.request_id)
+        self._waiting[key] = _Asker(fut, message.rank)
         ask = ledger.SlotAsk(
             message.request_id,
             message.rank,
@@ -205,13 +222,19 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        for engine in {key[0] for key in self._waiting}:
+        for engine in dict.fromkeys(key[0] for key in self._waiting):
             book = self._ledgers.get(engine)
             if book is not None:
                 self._deliver(engine, book.tick(now), now)
 
     # Ledgers
 
+    def _reconfigure(self) -> None:
+        for engine, book in self._ledgers.items():
+            record = self._directory.record(engine)
+            if record is not None:
+                book.configure(self._limits(record))
+
     def _ledger(self, engine: str) -> ledger.SlotLedger | None:
         if self._owners.owner_of(engine) != self._self_name:
             self._drop(engine)
@@ -243,12 +266,12 @@
         for held in self._unread.pop(engine, ()):
             held.fut.set_result(_not_owner())
         for key in [key for key in self._waiting if key[0] == engine]:
-            fut = self._waiting.pop(key)
+            fut = self._waiting.pop(key).fut
             if not fut.done():
                 fut.set_result(_not_owner())
 
     def _limits(self, record: endpoints.EndpointRecord) -> ledger.LedgerLimits:
-        defaults = self._defaults()
+        defaults = self._defaults(record)
         if defaults is None:
             return ledger.LedgerLimits(record.slots, record.kv_blocks)
         return ledger.LedgerLimits(
@@ -264,14 +287,23 @@
     ) -> None:
         book = self._ledgers[engine]
         for action in actions:
-            fut = self._waiting.pop((engine, action.request_id), None)
-            if fut is None or fut.done():
+            asker = self._waiting.pop((engine, action.request_id), None)
+            if asker is None or asker.fut.done():
                 continue
-            granted = isinstance(action, ledger.Granted)
-            reason = "" if granted else action.reason.value
-            wait_s = book.wait_estimate(ledger.URGENT, now)
-            room = book.room(now)
-            fut.set_result(peers.SlotAnswer(granted, reason, room, wait_s))
+            asker.fut.set_result(_answer(book, action, asker.rank, now))
+
+
+def _answer(
+    book: ledger.SlotLedger, action: ledger.Action, rank: int, now: float
+) -> peers.SlotAnswer:
+    granted = isinstance(action, ledger.Granted)
+    return peers.SlotAnswer(
+        granted=granted,
+        reason="" if granted else action.reason.value,
+        room=book.room(rank, now),
+        wait_s=book.wait_estimate(rank, now),
+        delay_s=action.delay_s if granted else 0.0,
+    )
 
 
 def _not_owner() -> peers.SlotAnswer:
--- a/packages/seam_node/seam_node/filters/base.py
+++ b/packages/seam_node/seam_node/filters/base.py
@@ -49,6 +49,8 @@
     """Header names in lower case."""
     service: str = ""
     operation: str = ""
+    fault: errors.SeamError | None = None
+    """Why the body could not be received."""
 
 
 @attrs.define(eq=False)
@@ -71,7 +73,8 @@
     reply: requests.ServiceReply | None = None
     refusal: requests.Refusal | None = None
     retry_after_s: float = 1.0
-    lead_s: float = 0.0
+    slot_free_at: float = 0.0
+    """Monotonic time by which the granted decode slot should be free."""
     attempt: int = 0
     excluded: set[str] = attrs.field(factory=set)
     """Endpoints that failed this request."""
@@ -94,6 +97,13 @@
         return self.arrived_at + req.deadline_s - self.now()
 
 
+def make_context(
+    raw: RawRequest, sink: Sink, now: Callable[[], float]
+) -> Context:
+    """Returns the context of a request that arrives now."""
+    return Context(raw, sink, now(), runs.Trace(""), now)
+
+
 class Filter(abc.ABC):
     """One step that every request of a kind passes."""
 
--- a/packages/seam_node/seam_node/filters/claim.py
+++ b/packages/seam_node/seam_node/filters/claim.py
@@ -1,5 +1,6 @@
 """Claims the key of a non-idempotent order before it is sent."""
 
+import asyncio
 import hashlib
 
 from seam_model import errors
@@ -18,6 +19,13 @@
     return state.digest()
 
 
+def _may_have_run(error: errors.SeamError) -> bool:
+    """Tells whether an earlier attempt with the key may have been sent."""
+    if isinstance(error, errors.KeyOutsideWindow):
+        return error.may_have_run
+    return isinstance(error, errors.OutcomeUnknown | errors.OutcomeNotKept)
+
+
 class ClaimFilter(base.Filter):
     """Lets each non-idempotent order through at most once."""
 
@@ -35,11 +43,14 @@
         if call.idempotent:
             return await proceed(ctx)
         digest = order_digest(call.service, call.operation, call.body)
-        claimed = await self._claims.claim(call.key, digest)
+        try:
+            async with asyncio.timeout(max(0.0, ctx.remaining_s())):
+                claimed = await self._claims.claim(call.key, digest)
+        except TimeoutError:
+            # The cancelled claim releases itself once the platform answers.
+            return base.fail(errors.DeadlinePassed(self.name))
         if claimed.is_error():
-            ctx.reached_endpoint = isinstance(
-                claimed.error, errors.OutcomeUnknown | errors.OutcomeNotKept
-            )
+            ctx.reached_endpoint = _may_have_run(claimed.error)
             return base.fail(claimed.error)
         claim = claimed.ok
         if claim.reply is not None:
--- a/packages/seam_node/seam_node/filters/parse.py
+++ b/packages/seam_node/seam_node/filters/parse.py
@@ -39,6 +39,8 @@
             raise _bad(name, value, f"text of at most {limit} characters")
         if not value and default is None:
             raise _bad(name, value, "text that is not empty")
+        if not _is_unicode(value):
+            raise _bad(name, value, "text without lone surrogates")
         return value
 
     def whole(self, name: str, low: int, high: int, default: int | None) -> int:
@@ -68,6 +70,15 @@
         return _RANKS[value]
 
 
+def _is_unicode(text: str) -> bool:
+    """Tells whether text can be encoded; JSON may hold half a character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _bad(field: str, value: Any, allowed: str) -> errors.SeamException:
     return errors.SeamException(
         errors.BadInput(field, repr(value)[:80], allowed)
@@ -114,6 +125,8 @@
         self, ctx: base.Context, proceed: base.Proceed
     ) -> base.Result:
         """Sets the typed request or refuses with a typed error."""
+        if ctx.raw.fault is not None:
+            return base.fail(ctx.raw.fault)
         plain = read_object(ctx.raw.body, self._limits.max_body_bytes)
         if plain.is_error():
             return base.fail(plain.error)
@@ -208,6 +221,8 @@
         self, ctx: base.Context, proceed: base.Proceed
     ) -> base.Result:
         """Sets the typed call or refuses with a typed error."""
+        if ctx.raw.fault is not None:
+            return base.fail(ctx.raw.fault)
         if len(ctx.raw.body) > self._limits.max_body_bytes:
             limit = self._limits.max_body_bytes
             return base.fail(errors.BodyTooLarge(limit))
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -11,6 +11,7 @@
 from seam_model import ids
 from seam_node import metrics
 from seam_node import task
+from seam_node.controllers import bookings
 from seam_node.controllers import engines
 from seam_node.controllers import planner
 from seam_node.controllers import registry
@@ -22,6 +23,10 @@
 DECODE_TIMEOUT_S = 2.0
 KV_RETRY_MARGIN_S = 0.1
 """Life that a KV cache must have left for a second transfer."""
+FIRST_STEP_S = 0.03
+"""Time kept for the first decode step."""
+FULL_PAUSE_S = 0.025
+"""Pause before an engine that was full is tried again with the same KV."""
 
 
 @attrs.frozen
@@ -41,13 +46,15 @@
         self,
         directory: engines.EngineDirectory,
         plan: planner.Planner,
+        booking: bookings.BookingClient,
         registry_: registry.Registry,
         meter: metrics.Metrics,
         owner: str,
     ):
-        """Takes the engines, the planner, the registry and our own name."""
+        """Takes the engines, who plans and books, and our own name."""
         self._directory = directory
         self._planner = plan
+        self._bookings = booking
         self._registry = registry_
         self._metrics = meter
         self._owner = owner
@@ -68,6 +75,7 @@
         if opened.is_error():
             self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
             return base.fail(opened.error)
+        ctx.note(self.name, "stream open")
         ctx.stream = opened.ok
         ctx.run.stream = opened.ok
         try:
@@ -87,8 +95,16 @@
             return expression.Error(
                 errors.NoEndpoint(f"prefill engine for {req.model}")
             )
-        name = choices[0].name
-        ctx.note(self.name, f"prefill engine {name}")
+        if self._planner.reserves:
+            booked = await self._bookings.book(req, choices)
+            if ctx.run.stop is not None or not _is_in_time(ctx, booked):
+                self._bookings.withdraw(req, booked.choice.name)
+                return expression.Error(_not_sent(ctx))
+            name = booked.choice.name
+            ready_s = booked.ready_s
+        else:
+            name, ready_s = choices[0].name, choices[0].lead_s
+        ctx.note(self.name, f"prefill engine {name}, ready in {ready_s:.3f} s")
         order = endpoints.PrefillOrder(
             req.request_id,
             ctx.run.incarnation,
@@ -118,6 +134,10 @@
         self._planner.prefilled(
             name, req, done.ok.cached_tokens, ctx.now() - started_at
         )
+        cached = done.ok.cached_tokens
+        ctx.note(
+            self.name, f"prefilled, {cached} of {req.prompt_tokens} cached"
+        )
         record = self._directory.record(name)
         return expression.Ok(
             _Prefilled(
@@ -143,15 +163,35 @@
     async def _decode(
         self, ctx: base.Context, kv: _Prefilled
     ) -> expression.Result[engine.DecodeStream, errors.SeamError]:
-        opened = await self._decode_once(ctx, kv)
-        if opened.is_ok() or not isinstance(
-            opened.error, errors.TransferFailed
-        ):
-            return opened
-        if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
-            return opened
-        ctx.note(self.name, "transfer retried from the same KV")
-        return await self._decode_once(ctx, kv)
+        await self._await_slot(ctx, kv)
+        may_move_again = True
+        while True:
+            opened = await self._decode_once(ctx, kv)
+            if opened.is_ok() or ctx.run.stop is not None:
+                return opened
+            if kv.expires_at - ctx.now() < KV_RETRY_MARGIN_S:
+                return opened
+            if isinstance(opened.error, errors.TransferFailed):
+                if not may_move_again:
+                    return opened
+                may_move_again = False
+                ctx.note(self.name, "transfer retried from the same KV")
+            elif self._is_granted_early(opened.error):
+                # The slot was granted ahead of the end of a running stream.
+                await asyncio.sleep(FULL_PAUSE_S)
+            else:
+                return opened
+
+    def _is_granted_early(self, error: errors.SeamError) -> bool:
+        full = isinstance(error, errors.EndpointFull)
+        return full and self._planner.reserves
+
+    async def _await_slot(self, ctx: base.Context, kv: _Prefilled) -> None:
+        """Waits until the granted slot is free, while the KV cache lives."""
+        until = min(ctx.slot_free_at, kv.expires_at - KV_RETRY_MARGIN_S)
+        wait_s = until - ctx.now()
+        if wait_s > 0:
+            await runs.until_stopped(ctx.run, asyncio.sleep(wait_s))
 
     async def _decode_once(
         self, ctx: base.Context, kv: _Prefilled
@@ -205,6 +245,19 @@
             )
 
 
+def _is_in_time(ctx: base.Context, booked: bookings.Booked) -> bool:
+    """Tells whether the first token can still meet its target."""
+    waited_s = ctx.now() - ctx.arrived_at
+    left_s = ctx.generate.targets.first_token_s - waited_s
+    return booked.ready_s + FIRST_STEP_S <= left_s
+
+
+def _not_sent(ctx: base.Context) -> errors.SeamError:
+    if ctx.run.stop is not None:
+        return runs.stop_error(ctx.run, "transfer")
+    return errors.Overloaded("prefill queue is too long")
+
+
 def _close_stream(decode: asyncio.Future[Any]) -> None:
     if decode.cancelled() or decode.exception() or decode.result().is_error():
         return
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -4,7 +4,9 @@
 import random
 
 import attrs
+import expression
 
+from seam_model import admin
 from seam_model import config
 from seam_model import endpoints
 from seam_model import errors
@@ -13,24 +15,36 @@
 from seam_model import requests
 from seam_model import settings as node_settings
 from seam_node import entry
+from seam_node import gauges
 from seam_node import logs
 from seam_node import metrics
+from seam_node import status
+from seam_node.adapters import platform_meter
+from seam_node.controllers import bookings
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
 from seam_node.controllers import engine_watch
 from seam_node.controllers import engines
+from seam_node.controllers import lease
 from seam_node.controllers import liveness
 from seam_node.controllers import membership
 from seam_node.controllers import membership_view
 from seam_node.controllers import mirror
+from seam_node.controllers import observe
 from seam_node.controllers import owner
 from seam_node.controllers import ownership
 from seam_node.controllers import planner
 from seam_node.controllers import reaper
 from seam_node.controllers import registry
+from seam_node.controllers import roles
+from seam_node.controllers import roles_demand
+from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
+from seam_node.controllers import service_gate
+from seam_node.controllers import slots
 from seam_node.filters import account
+from seam_node.filters import admit
 from seam_node.filters import base
 from seam_node.filters import call
 from seam_node.filters import claim
@@ -54,6 +68,7 @@
 from seam_policy import retry as retry_policy
 
 START_PAUSE_S = 0.05
+ROLES_LEASE = "roles"
 
 
 @attrs.frozen
@@ -77,6 +92,7 @@
         ports: Ports,
         rng: random.Random,
         policy: placement.Placement | None = None,
+        meter: metrics.Metrics | None = None,
     ):
         """Wires controllers and filters; call inside a running loop.
 
@@ -86,20 +102,27 @@
             ports: What it talks to.
             rng: Source of nonces and jitter.
             policy: Placement to use in place of the product's own.
+            meter: Metrics that parts outside the node count in as well.
         """
         self.settings = settings
         self.record = record
-        self.ports = ports
         self.rng = rng
         self.log = logs.Log(record.name)
-        self.metrics = metrics.Metrics()
+        self.metrics = meter or metrics.Metrics()
+        counted = platform_meter.MeteredPlatform(
+            ports.platform, self.metrics.platform_call
+        )
+        self.ports = attrs.evolve(ports, platform=counted)
         self.runs = runs.RunTable()
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
+        self.gates = service_gate.ServiceGates(self.directory, ports.clock)
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
+        self._make_roles()
         self._make_drain()
+        self._make_observer()
         self._limiter = limits.WorkspaceLimiter(
             limits.WorkspaceLimits(1000.0, 1000.0, 1000)
         )
@@ -115,6 +138,9 @@
             self.claims,
             self.owner,
             self.watch,
+            self.roles_lease,
+            self.roles_demand,
+            self.roles,
             self.drain,
         )
 
@@ -147,8 +173,13 @@
         """Returns why no new work is taken, or None."""
         if self.config.current() is None:
             return errors.InstanceNotReady("no confirmed configuration yet")
-        if self.members.view().fleet_at is None:
+        view = self.members.view()
+        if view.fleet_at is None:
             return errors.InstanceNotReady("no list of the fleet yet")
+        if not (view.own.leaving or view.lists(self.record.name)):
+            return errors.InstanceNotReady("the platform does not list it yet")
+        if self.mirror.warming:
+            return errors.InstanceNotReady("its mirror learns of runs yet")
         fresh = self.config.freshness(self.ports.clock.monotonic())
         return fresh.error if fresh.is_error() else None
 
@@ -166,17 +197,20 @@
         """Runs a service call; the reply is `ctx.reply`."""
         return await self._run(self.service_chain, raw, sink)
 
-    async def cancel(self, request_id: str) -> bool:
-        """Cancels a run here or where its mirrors say it is."""
-        if await self.runs.stop(request_id, runs.Stop.CANCELLED) is not None:
+    async def cancel(self, request_id: str, workspace: str) -> bool:
+        """Cancels a workspace's run here or where its mirrors say it is."""
+        tag = ids.workspace_tag(workspace)
+        if await self._cancel_here(request_id, tag):
             return True
         packed = ids.pack(request_id)
         names = {site.name for site in self.members.view().live}
         names.discard(self.record.name)
-        holders = await self.registry.holders(packed)
-        for name in holders & names:
+        holders = await self.registry.holders(packed, tag)
+        for name in sorted(holders & names):
             answer = await self.ports.peers.request(
-                name, peers.CancelRun(packed), registry.HAND_OVER_TIMEOUT_S
+                name,
+                peers.CancelRun(packed, tag),
+                registry.HAND_OVER_TIMEOUT_S,
             )
             if answer.is_ok() and answer.ok.known:
                 return True
@@ -185,20 +219,57 @@
     def entry_answer(self, workspace: str) -> requests.EntryAnswer:
         """Returns which instances a caller should use."""
         cfg = self.config.current()
-        defaults = cfg.defaults.entry if cfg else None
+        rule = (
+            config.resolve(cfg, self._scope(workspace)).entry if cfg else None
+        )
         return entry.answer(
-            self.members.view(),
-            self.settings.distances,
-            workspace,
-            defaults,
+            self.members.view(), self.settings.distances, workspace, rule
         )
 
+    # Operators
+
+    def status(self) -> admin.InstanceStatus:
+        """Returns what this instance says of itself."""
+        reason = self.not_ready()
+        now = self.ports.clock.monotonic()
+        fresh = self.config.freshness(now)
+        held = self.roles_lease.valid_for(now) > 0
+        return admin.InstanceStatus(
+            name=self.record.name,
+            data_centre=self.record.data_centre,
+            incarnation=self.record.incarnation,
+            url=self.record.url,
+            admin_url=self.record.admin_url,
+            state=status.phase_name(self.drain.phase),
+            config_version=self.config.version(),
+            in_progress=self.drain.in_progress,
+            not_ready=reason.describe() if reason else "",
+            live_peers=len(self._live_peers()),
+            unstored_claims=self.claims.unstored(),
+            config_silent_s=(
+                fresh.ok if fresh.is_ok() else fresh.error.silent_s
+            ),
+            leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
+            ledgers=status.ledgers(self.owner),
+            outcomes=self.metrics.outcomes(),
+        )
+
+    async def fleet_status(self) -> admin.FleetStatus:
+        """Returns the status of every instance and endpoint."""
+        listed = status.endpoint_list(self.directory, self.ownership)
+        instances = await self.observer.instances()
+        return admin.FleetStatus(self.record.name, instances, listed)
+
     async def _run(
         self, chain: base.Chain, raw: base.RawRequest, sink: base.Sink
     ) -> base.Context:
-        now = self.ports.clock.monotonic
-        ctx = base.Context(raw, sink, now(), runs.Trace(""), now)
-        result = await chain.run(ctx)
+        ctx = base.make_context(raw, sink, self.ports.clock.monotonic)
+        try:
+            result = await chain.run(ctx)
+        except Exception as exc:
+            self.log.bug("request_failed", exc, request=ctx.trace.request_id)
+            ctx.reached_endpoint = True
+            result = base.fail(errors.Internal(type(exc).__name__))
         if result.is_error():
             ctx.refusal = self._refusal(ctx, result.error)
         return ctx
@@ -247,6 +318,7 @@
             ports.clock,
             self._cancel_at_engine,
             self.registry.own_runs,
+            resume_window_s=self._resume_window_s,
         )
         self.proof = liveness.MirrorProof(self.members, self.registry)
         ports.peers.handle(peers.CancelRun, self._on_cancel_run)
@@ -269,9 +341,12 @@
             self.directory,
             self.ownership,
             self.ports.peers,
-            self._defaults,
+            self._engine_defaults,
             self.ports.clock,
         )
+        self.bookings = bookings.BookingOwner(
+            self.ports.peers, self.ports.clock
+        )
         self.watch = engine_watch.EngineWatch(
             self.record.name,
             self.record.data_centre,
@@ -279,7 +354,12 @@
             self.ownership,
             self.owner,
             self.planner,
-            reaper.Reaper(self.members, self.ports.peers, self._reaped),
+            reaper.Reaper(
+                self.members,
+                self.ports.peers,
+                self._reaped,
+                self._resume_window_s,
+            ),
         )
 
     def _make_orders(self) -> None:
@@ -290,13 +370,58 @@
             self.ports.clock,
             self.ownership.shard_owner,
             self.rng,
+            self._order_window_s,
+        )
+
+    def _make_roles(self) -> None:
+        ports = self.ports
+        self.wanted = roles_wanted.WantedEngines(
+            self._defaults,
+            lambda: self.members.view().endpoints,
+            ports.clock,
+        )
+        self.roles_lease = lease.LeaseController(
+            ROLES_LEASE,
+            self.record.name,
+            self.record.incarnation,
+            ports.platform,
+            ports.clock,
+            self._wants_roles_lease,
+            roles.ORDER_TIMEOUT_S,
+            self.settings.timing.lease_s,
+        )
+        self.roles_demand = roles_demand.PoolDemand(
+            self.roles_lease, ports.engines, self.wanted.adapting, ports.clock
+        )
+        self.roles = roles.RolesController(
+            self.roles_lease,
+            ports.engines,
+            ports.clock,
+            self.wanted.records,
+            lambda records: self.wanted.decide(
+                records, self.roles_demand, self.roles_lease.fence()
+            ),
+            self.wanted.load_s,
+            self._note_model_order,
         )
 
     def _make_drain(self) -> None:
         self.drain = drain.DrainController(
-            self.record.name, self._on_phase, (self.claims.flush,)
+            self.record.name,
+            self._on_phase,
+            (self.claims.flush, self._resign_lease),
         )
 
+    def _make_observer(self) -> None:
+        self.observer = observe.Observer(
+            self.record.name,
+            self.ports.peers,
+            self.members.view,
+            self.status,
+            self.runs,
+        )
+        self.metrics.registry.register(gauges.StatusCollector(self.status))
+
     def _generate_filters(self) -> list[base.Filter]:
         """Returns the filters of model requests, outermost first."""
         data_centre = self.record.data_centre
@@ -322,13 +447,17 @@
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
-                self.ownership,
-                self.ports.peers,
+                slots.SlotClient(
+                    self.directory, self.ownership, self.ports.peers
+                ),
                 self.planner,
             ),
             transfer.TransferFilter(
                 self.directory,
                 self.planner,
+                bookings.BookingClient(
+                    self.ownership, self.ports.peers, self.planner
+                ),
                 self.registry,
                 self.metrics,
                 self.owner_id,
@@ -348,6 +477,7 @@
             ),
             identify.IdentifyFilter(self.settings.workspaces.keys),
             limit.LimitFilter(self._limiter, self.ports.clock),
+            admit.AdmitFilter(self.gates),
             claim.ClaimFilter(self.claims),
             call.CallFilter(
                 self.directory, self.ports.services, self._budget, self.rng
@@ -360,6 +490,19 @@
         cfg = self.config.current()
         return cfg.defaults if cfg else None
 
+    def _engine_defaults(
+        self, record: endpoints.EndpointRecord
+    ) -> config.Defaults | None:
+        cfg = self.config.current()
+        if cfg is None:
+            return None
+        scope = config.Scope(engine=record.name, data_centre=record.data_centre)
+        return config.resolve(cfg, scope)
+
+    def _order_window_s(self) -> float:
+        defaults = self._defaults()
+        return defaults.orders.window_s if defaults else 0.0
+
     def _model_rule(self, model: str) -> config.ModelRule | None:
         defaults = self._defaults()
         return defaults.models.get(model) if defaults else None
@@ -373,15 +516,61 @@
 
     def _on_config(self, cfg: config.FleetConfig) -> None:
         self.log.event("config_in_force", version=cfg.version)
+        names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
+        own = config.resolve(cfg, self._scope(""))
         self._limiter.configure(
-            _limits(cfg.defaults.workspace), _workspace_limits(cfg)
+            _limits(own.workspace),
+            {
+                name: _limits(config.resolve(cfg, self._scope(name)).workspace)
+                for name in names
+            },
+        )
+        self._budget.configure(own.retry.budget_ratio)
+        self.drain.configure(cfg.defaults.drain.refuse_after_s)
+        self.owner.tell(owner.Reconfigure())
+
+    def _scope(self, workspace: str) -> config.Scope:
+        """Returns the scope of what a workspace does at this instance."""
+        return config.Scope(
+            workspace=workspace, data_centre=self.record.data_centre
         )
 
+    def _resume_window_s(self) -> float:
+        defaults = self._defaults()
+        return defaults.resume_window_s if defaults else mirror.RESUME_WINDOW_S
+
     def _on_phase(self, phase: drain.Phase) -> None:
         self.log.event("drain_phase", phase=phase.name.lower())
         if phase is drain.Phase.ANNOUNCED:
             self.members.spawn(self.members.leave())
 
+    def _wants_roles_lease(self) -> bool:
+        """Tells whether this instance is the one that should give orders."""
+        if self.drain.phase is not drain.Phase.SERVING or self.not_ready():
+            return False
+        if not self.wanted.has_rules():
+            return False
+        key = f"{lease.PREFIX}{ROLES_LEASE}".encode()
+        return self.ownership.shard_owner(key) == self.record.name
+
+    async def _resign_lease(self) -> None:
+        await self.roles_lease.ask(lease.Resign())
+
+    def _note_model_order(
+        self,
+        record: endpoints.EndpointRecord,
+        order: endpoints.ModelOrder,
+        result: expression.Result,
+    ) -> None:
+        self.log.event(
+            "model_order",
+            engine=record.name,
+            order=order.order_id,
+            role=order.role.value,
+            models=",".join(order.models),
+            outcome="ok" if result.is_ok() else result.error.code,
+        )
+
     def _fenced(self, request_id: bytes) -> None:
         self.members.spawn(self._let_go(request_id))
 
@@ -396,10 +585,16 @@
         self, sender: str, message: peers.CancelRun
     ) -> peers.CancelAnswer:
         del sender
-        run = await self.runs.stop(
-            ids.unpack(message.request_id), runs.Stop.CANCELLED
-        )
-        return peers.CancelAnswer(run is not None)
+        request_id = ids.unpack(message.request_id)
+        known = await self._cancel_here(request_id, message.tag)
+        return peers.CancelAnswer(known)
+
+    async def _cancel_here(self, request_id: str, tag: bytes) -> bool:
+        run = self.runs.get(request_id)
+        if run is None or ids.workspace_tag(run.trace.workspace) != tag:
+            return False
+        await runs.stop_run(run, runs.Stop.CANCELLED)
+        return True
 
     async def _cancel_at_engine(
         self, name: str, request_id: bytes, generation: int
@@ -412,6 +607,7 @@
         return done.is_ok()
 
     def _reaped(self, held: endpoints.HeldStream) -> None:
+        self.metrics.stream_reaped()
         self.log.event(
             "stream_reaped", request=held.request_id, owner=held.owner
         )
@@ -421,14 +617,3 @@
     return limits.WorkspaceLimits(
         rule.rate_per_s, float(rule.burst), rule.concurrency
     )
-
-
-def _workspace_limits(
-    cfg: config.FleetConfig,
-) -> dict[str, limits.WorkspaceLimits]:
-    names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
-    scopes = {name: config.Scope(workspace=name) for name in names}
-    return {
-        name: _limits(config.resolve(cfg, scope).workspace)
-        for name, scope in scopes.items()
-    }
