--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -74,6 +74,8 @@
         opened = await self._decode(ctx, prefilled.ok)
         if opened.is_error():
             self._metrics.prefill_wasted(ctx.generate.prompt_tokens)
+            if isinstance(opened.error, errors.KvExpired):
+                ctx.excluded.add(prefilled.ok.engine)
             return base.fail(opened.error)
         ctx.note(self.name, "stream open")
         ctx.stream = opened.ok
