--- a/packages/seam_node/seam_node/controllers/owner.py
+++ b/packages/seam_node/seam_node/controllers/owner.py
@@ -89,6 +89,8 @@
         self._defaults = defaults
         self._clock = clk
         self._ledgers: dict[str, ledger.SlotLedger] = {}
+        self._busy = asyncio.Event()
+        """Set while an ask waits, so that an idle owner does not tick."""
         self._waiting: dict[tuple[str, bytes], _Asker] = {}
         self._unread: dict[str, list[_Held]] = {}
         """Asks for engines whose ledgers are new, by engine."""
@@ -136,9 +138,11 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            await self._busy.wait()
             await asyncio.sleep(TICK_S)
-            if self._waiting:
-                self.tell(_Tick())
+            self.tell(_Tick())
+            if not self._waiting:
+                self._busy.clear()
 
     # Messages
 
@@ -162,6 +166,7 @@
     ) -> None:
         key = (message.engine, message.request_id)
         self._waiting[key] = _Asker(fut, message.rank)
+        self._busy.set()
         ask = ledger.SlotAsk(
             message.request_id,
             message.rank,
@@ -293,6 +298,10 @@
             asker.fut.set_result(_answer(book, action, asker.rank, now))
 
 
+def _not_owner() -> peers.SlotAnswer:
+    return peers.SlotAnswer(False, NOT_OWNER, 0, 0.0)
+
+
 def _answer(
     book: ledger.SlotLedger, action: ledger.Action, rank: int, now: float
 ) -> peers.SlotAnswer:
@@ -304,7 +313,3 @@
         wait_s=book.wait_estimate(rank, now),
         delay_s=action.delay_s if granted else 0.0,
     )
-
-
-def _not_owner() -> peers.SlotAnswer:
-    return peers.SlotAnswer(False, NOT_OWNER, 0, 0.0)
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -117,6 +117,7 @@
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
         self.gates = service_gate.ServiceGates(self.directory, ports.clock)
+        self._was_listed = False
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
@@ -176,7 +177,9 @@
         view = self.members.view()
         if view.fleet_at is None:
             return errors.InstanceNotReady("no list of the fleet yet")
-        if not (view.own.leaving or view.lists(self.record.name)):
+        # An outage of the platform empties its list; who was listed serves on.
+        self._was_listed |= view.lists(self.record.name)
+        if not (view.own.leaving or self._was_listed):
             return errors.InstanceNotReady("the platform does not list it yet")
         if self.mirror.warming:
             return errors.InstanceNotReady("its mirror learns of runs yet")
@@ -245,12 +248,14 @@
             in_progress=self.drain.in_progress,
             not_ready=reason.describe() if reason else "",
             live_peers=len(self._live_peers()),
+            warming=self.mirror.warming,
             unstored_claims=self.claims.unstored(),
             config_silent_s=(
                 fresh.ok if fresh.is_ok() else fresh.error.silent_s
             ),
             leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
-            ledgers=status.ledgers(self.owner),
+            ledgers=status.ledgers(self.owner.ledgers()),
+            services=status.ledgers(self.gates.ledgers()),
             outcomes=self.metrics.outcomes(),
         )
 
