--- a/tests/proofs/test_runs_engines.py
+++ b/tests/proofs/test_runs_engines.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import attrs
+import expression
 import pytest
 
 from proofs import callers
 from proofs import fleet
 from seam_model import endpoints
+from seam_model import errors
 from seam_model import peers
 
 
@@ -37,12 +39,23 @@
     assert not used
 
 
+async def lose(name):
+    """Answers a transfer of KV that is gone."""
+    return expression.Error(errors.KvExpired(name))
+
+
 @pytest.mark.parametrize("seed", fleet.seeds(2))
-def test_expired_kv_is_computed_again_elsewhere(seed):
+@pytest.mark.parametrize("promised", [False, True])
+def test_expired_kv_is_computed_again_elsewhere(seed, promised):
+    """With `promised` the engine loses KV that it said to hold."""
+
     async def scenario(flt, clients):
         for name in ("prefill-1", "prefill-2"):
             core = flt.engines[name]
             core.cost = attrs.evolve(core.cost, kv_life_s=0.0001)
+            if promised:
+                core.cost = attrs.evolve(core.cost, kv_life_s=0.8)
+                core.export = lambda handle, name=name: lose(name)
         answers = await asyncio.gather(
             *(
                 clients.generate([name, *flt.names], rank="other")
