--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -69,6 +69,8 @@
             ctx.kv = prefilled.ok
         opened = await self._decode(ctx, ctx.kv)
         if opened.is_error():
+            if isinstance(opened.error, errors.KvExpired):
+                ctx.excluded.add(ctx.kv.engine)
             return base.fail(opened.error)
         ctx.note(self.name, "stream open")
         ctx.stream = opened.ok
