--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -84,12 +84,14 @@
 
 @attrs.frozen
 class RunReleased:
-    """Withdraws a registration that did not get its majority."""
+    """Withdraws a registration that has no majority or sent nothing."""
 
     request_id: bytes
     generation: int
     instance: str
     incarnation: int
+    keep: bool = False
+    """Whether an endpoint may know the generation, so that it stays used."""
 
 
 @attrs.frozen
@@ -182,9 +184,9 @@
     granted: bool
     reason: str
     room: int
-    """Free slots that the owner counts after this answer."""
+    """Free slots for the rank that asked, after this answer."""
     wait_s: float
-    """Estimated wait for an urgent request that asks now."""
+    """Estimated wait for a request of that rank that asks now."""
     delay_s: float = 0.0
     """Expected time until a granted slot is free."""
 
@@ -200,6 +202,36 @@
     failed: bool
 
 
+# Prefills
+
+
+@attrs.frozen
+class PrefillBook:
+    """Tells a prefill engine's owner of a prefill that is about to be sent."""
+
+    request_id: bytes
+    engine: str
+    rank: int
+    work_s: float
+    """Time that the prefill takes without any wait."""
+
+
+@attrs.frozen
+class PrefillBooked:
+    """Answers a booking."""
+
+    wait_s: float
+    """Expected wait at the engine."""
+
+
+@attrs.frozen
+class PrefillWithdraw:
+    """Takes back a booking whose prefill is not sent."""
+
+    request_id: bytes
+    engine: str
+
+
 # Orders
 
 
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -20,6 +20,7 @@
 from seam_node import metrics
 from seam_node import status
 from seam_node.adapters import platform_meter
+from seam_node.controllers import bookings
 from seam_node.controllers import claims
 from seam_node.controllers import config as config_controller
 from seam_node.controllers import drain
@@ -41,6 +42,7 @@
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
 from seam_node.controllers import service_gate
+from seam_node.controllers import slots
 from seam_node.filters import account
 from seam_node.filters import admit
 from seam_node.filters import base
@@ -115,6 +117,7 @@
         self.owner_id = f"{record.name}/{record.incarnation}"
         self.directory = engines.EngineDirectory(ports.engines, ports.clock)
         self.gates = service_gate.ServiceGates(self.directory, ports.clock)
+        self._was_listed = False
         self._make_membership()
         self._make_engines(policy or placement.Product())
         self._make_orders()
@@ -171,8 +174,15 @@
         """Returns why no new work is taken, or None."""
         if self.config.current() is None:
             return errors.InstanceNotReady("no confirmed configuration yet")
-        if self.members.view().fleet_at is None:
+        view = self.members.view()
+        if view.fleet_at is None:
             return errors.InstanceNotReady("no list of the fleet yet")
+        # An outage of the platform empties its list; who was listed serves on.
+        self._was_listed |= view.lists(self.record.name)
+        if not (view.own.leaving or self._was_listed):
+            return errors.InstanceNotReady("the platform does not list it yet")
+        if self.mirror.warming:
+            return errors.InstanceNotReady("its mirror learns of runs yet")
         fresh = self.config.freshness(self.ports.clock.monotonic())
         return fresh.error if fresh.is_error() else None
 
@@ -238,12 +248,14 @@
             in_progress=self.drain.in_progress,
             not_ready=reason.describe() if reason else "",
             live_peers=len(self._live_peers()),
+            warming=self.mirror.warming,
             unstored_claims=self.claims.unstored(),
             config_silent_s=(
                 fresh.ok if fresh.is_ok() else fresh.error.silent_s
             ),
             leases={ROLES_LEASE: self.roles_lease.fence()} if held else {},
-            ledgers=status.ledgers(self.owner),
+            ledgers=status.ledgers(self.owner.ledgers()),
+            services=status.ledgers(self.gates.ledgers()),
             outcomes=self.metrics.outcomes(),
         )
 
@@ -337,6 +349,9 @@
             self._engine_defaults,
             self.ports.clock,
         )
+        self.bookings = bookings.BookingOwner(
+            self.ports.peers, self.ports.clock
+        )
         self.watch = engine_watch.EngineWatch(
             self.record.name,
             self.record.data_centre,
@@ -437,13 +452,17 @@
             retry.RetryFilter(self._budget),
             place.PlaceFilter(
                 self.directory,
-                self.ownership,
-                self.ports.peers,
+                slots.SlotClient(
+                    self.directory, self.ownership, self.ports.peers
+                ),
                 self.planner,
             ),
             transfer.TransferFilter(
                 self.directory,
                 self.planner,
+                bookings.BookingClient(
+                    self.ownership, self.ports.peers, self.planner
+                ),
                 self.registry,
                 self.metrics,
                 self.owner_id,
--- a/tests/proofs/callers.py
+++ b/tests/proofs/callers.py
@@ -44,6 +44,10 @@
         self.after_seq = after_seq
         self.silent = False
         """Whether something between the ends drops every byte."""
+        self.silent_after = float("inf")
+        """Number of events after which it does."""
+        self.close_lost = False
+        """Whether the instance never hears of the caller's close."""
         self.arrived: asyncio.Queue = asyncio.Queue()
         self.events: list[history.Event] = []
         """What the instance sent, with the time of sending."""
@@ -60,11 +64,13 @@
         """Sends whole events."""
         if self._gone:
             return False
-        if not self.silent:
-            for text in data.decode().split("\n\n")[:-1]:
-                event, is_done = _parse(text)
-                self.events.append(event)
-                self._send((event, is_done))
+        for text in data.decode().split("\n\n")[:-1]:
+            self.silent |= len(self.events) >= self.silent_after
+            if self.silent:
+                break
+            event, is_done = _parse(text)
+            self.events.append(event)
+            self._send((event, is_done))
         return True
 
     def gone(self) -> bool:
@@ -104,7 +110,8 @@
     def hang_up(self) -> None:
         """Closes; on a silent connection nobody hears of it."""
         self.left = True
-        if not self.silent and self.end is None:
+        deaf = self.silent or self.close_lost
+        if not deaf and self.end is None:
             context = fleet_module.process(self.instance)
             loop = asyncio.get_running_loop()
             loop.call_later(WAY_S, self._closed, context=context)
@@ -116,22 +123,26 @@
         if self._callback is not None:
             self._callback()
 
+    def answered(self) -> bool:
+        """Tells whether the whole answer was sent on this connection."""
+        whole = self.end is not None and self.end.refusal is None
+        return whole and not self.end.broken
+
     def attempt(self) -> history.Attempt:
         """Returns what the checker reads."""
         end = self.end or _End()
         ran = end.refusal.ran.value if end.refusal else ""
-        done = self.end is not None and not ran and not end.broken
-        tokens = int(self.events[-1].text or 0) if done and self.events else 0
-        if tokens:
-            last = attrs.evolve(self.events[-1], text="")
-            self.events[-1] = last
+        events, tokens = list(self.events), 0
+        if self.answered() and events:
+            tokens = int(events[-1].text)
+            events[-1] = attrs.evolve(events[-1], text="")
         return history.Attempt(
             self.request_id,
             self.instance,
             self.start_s,
             min(self.end_s, _now()),
             after_seq=self.after_seq,
-            events=tuple(self.events),
+            events=tuple(events),
             done_tokens=tokens,
             ran=ran,
             broken=end.broken and not self.left,
@@ -206,6 +217,7 @@
         route: list[str],
         answer: Answer | None = None,
         tries: int = 12,
+        silent_after: float = float("inf"),
         **fields: Any,
     ) -> Answer:
         """Asks until the answer is whole or is refused for good."""
@@ -213,8 +225,9 @@
         maybe_ran = bool(answer.connections)
         for n in range(tries):
             name = route[n % len(route)]
-            resumes = maybe_ran and answer.last_seq > 0
-            conn = self.open(answer, name, resumes, **fields)
+            conn = self.open(answer, name, maybe_ran, **fields)
+            if not maybe_ran:
+                conn.silent_after = silent_after
             end = await self.read(answer, conn)
             if answer.done:
                 return answer
@@ -226,6 +239,8 @@
                     return answer
             unsure = end is None or end.refusal is None
             maybe_ran = maybe_ran or unsure or end.refusal.ran.value != "no"
+            if not unsure and _may_start(end.refusal.error, answer):
+                maybe_ran = False
             await asyncio.sleep(PAUSE_S)
         return answer
 
@@ -246,6 +261,11 @@
         ]
 
 
+def _may_start(error: errors.SeamError, answer: Answer) -> bool:
+    """Tells whether a caller that has nothing may ask as if anew."""
+    return isinstance(error, errors.RunUnknown) and not answer.last_seq
+
+
 def _is_final(error: errors.SeamError) -> bool:
     kinds = (errors.AlreadyEnded, errors.DeadlinePassed, errors.BadInput)
     return isinstance(error, kinds)
--- a/tests/seam_ctl/test_main.py
+++ b/tests/seam_ctl/test_main.py
@@ -2,11 +2,13 @@
 
 import json
 
+import expression
 import pytest
 import typer.testing
 
 from seam_ctl import exits
 from seam_ctl import main
+from seam_model import errors
 from seam_model import keys
 from seam_model import settings
 from tests.seam_node.web import admin_world
@@ -92,11 +94,14 @@
     assert "e2" in run("status")
 
 
-def test_exit_codes_tell_failures_apart(run):
+def test_exit_codes_tell_failures_apart(run, world):
+    url = world.urls["e1"]
     run("status", who="op.stranger", code=exits.DENIED)
     remove = ("exception", "remove", "x", "--why", "gone")
     run(*remove, who="vic", code=exits.DENIED)
     run("status", url=NO_PORT, code=exits.UNREACHABLE)
+    status = json.loads(run("status", "--json", url=f"{NO_PORT},{url}"))
+    assert status["asked"] == "e1"
     run("explain", "not-an-id", code=exits.INVALID)
     missing = "01912345-0000-7000-8000-000000000000"
     run("explain", missing, code=exits.NOT_FOUND)
@@ -150,3 +155,24 @@
     monkeypatch.setenv("SYCAMORESEAM_PROFILE", str(file))
     result = runner.invoke(main.app, ["status", "--json"])
     assert json.loads(result.output)["asked"] == "e2"
+
+
+def test_an_unsettled_change_is_settled_by_its_id(run, world, monkeypatch):
+    controller = world.nodes["e1"].config
+    real = controller.apply
+
+    async def lose(*args):
+        assert (await real(*args)).is_ok()
+        return expression.Error(errors.PlatformAmbiguous("apply"))
+
+    add = ("exception", "add", "late", "--workspace", "w")
+    add += ("--set", "workspace.burst=3", "--reason", "a lost answer")
+    monkeypatch.setattr(controller, "apply", lose)
+    said = run(*add, code=exits.UNSETTLED)
+    monkeypatch.setattr(controller, "apply", real)
+    change_id = said.split("--change-id ")[1].split()[0]
+    version = json.loads(run("config", "show", "--json"))["version"]
+    done = json.loads(run(*add, "--change-id", change_id, "--json"))
+    assert (done["version"], done["change_id"]) == (version, change_id)
+    run(*add, code=exits.INVALID)
+    run("exception", "remove", "late", "--why", "the test is over")
--- a/tests/seam_policy/test_ledger.py
+++ b/tests/seam_policy/test_ledger.py
@@ -120,10 +120,24 @@
     for number, tokens in enumerate(lengths):
         book.ask(_ask(number + 1000), -100.0)
         key = (number + 1000).to_bytes(16, "big")
-        book.release(key, tokens, 0.03, False, -90.0)
+        book.release(key, tokens, 0.03, False, -100.0 + tokens * 0.03)
     return book
 
 
+def test_ends_are_reckoned_from_when_streams_start_in_truth():
+    limits = ledger.LedgerLimits(slots=1, overbook=1)
+    book = ledger.SlotLedger(limits)
+    for number in range(1000, 1040):
+        book.ask(_ask(number, lead_s=0.1), -100.0)
+        key = number.to_bytes(16, "big")
+        book.release(key, 100, 0.03, False, -100.0 + 0.1 + 0.5 + 3.0)
+    book.ask(_ask(0, lead_s=0.1), 0.0)
+    book.ask(_ask(1, lead_s=0.4), 0.0)
+    assert book.tick(3.1) == []
+    (granted,) = book.tick(3.3)
+    assert 0.29 < granted.delay_s < 0.35
+
+
 def test_nothing_is_granted_ahead_when_lengths_vary():
     book = _warmed(ledger.LedgerLimits(slots=4), [20, 180] * 10)
     for number in range(4):
@@ -174,7 +188,7 @@
 def test_foreign_streams_use_slots_and_kv():
     book = ledger.SlotLedger(ledger.LedgerLimits(slots=4, kv_blocks=40))
     book.observe(3, 10, 0.0)
-    assert book.room(0.0) == 1
+    assert book.room(ledger.URGENT, 0.0) == 1
     assert _granted(book.ask(_ask(0, kv_blocks=11), 0.0)) == []
 
 
@@ -186,7 +200,11 @@
     assert book.adopt(ident, ledger.URGENT, 1, 1.0) == [
         ledger.Granted(ident, 0.0)
     ]
-    assert (book.running, book.waiting, book.room(1.0)) == (2, 0, 0)
+    assert (book.running, book.waiting, book.room(ledger.URGENT, 1.0)) == (
+        2,
+        0,
+        0,
+    )
     book.release(ident, 100, 0.03, False, 2.0)
     assert book.running == 1
 
@@ -208,7 +226,7 @@
     for per_token_s, rounds in ((0.2, 60), (0.01, 80)):
         for _ in range(rounds):
             now += 3.0
-            while book.room(now) > 0:
+            while book.room(ledger.URGENT, now) > 0:
                 number += 1
                 book.ask(_ask(number), now)
                 granted.append(_ask(number).request_id)
--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -1,6 +1,7 @@
 """Records what callers and endpoints saw, and checks the promises on it."""
 
 import collections
+import itertools
 
 import attrs
 
@@ -85,6 +86,15 @@
     idle_s: float
 
 
+@attrs.frozen
+class ModelOrderSeen:
+    """An engine acted on an order for its role or models."""
+
+    engine: str
+    fence: int
+    at_s: float
+
+
 @attrs.define
 class History:
     """Everything that was recorded in one session."""
@@ -94,6 +104,7 @@
     accepted: list[ConfigAccepted] = attrs.Factory(list)
     config_seen: list[ConfigSeen] = attrs.Factory(list)
     lives: list[Life] = attrs.Factory(list)
+    model_orders: list[ModelOrderSeen] = attrs.Factory(list)
     held: list[Held] = attrs.Factory(list)
     """What engines hold once callers have been quiet."""
 
@@ -127,6 +138,9 @@
 class ConfigLate(Violation): ...
 
 
+class FenceFell(Violation): ...
+
+
 class WorkOnLeaving(Violation): ...
 
 
@@ -137,21 +151,24 @@
 
 
 def one_answer(h: History) -> list[Violation]:
-    """No event of an id comes after, or twice with, its end."""
-    found = []
+    """An id has one end, nothing after it, and one relay at a time."""
+    found: list[Violation] = []
     for id_, tries in _by_id(h.attempts).items():
         ends = [a for a in tries if a.done_tokens]
         if len(ends) > 1:
             found.append(SecondAnswer(id_, f"{len(ends)} ends"))
-        for end in ends:
-            last = end.events[-1].at_s
-            late = [
-                event
-                for other in tries
-                if other is not end
-                for event in other.events
-                if event.at_s > last
-            ]
+        found += [
+            SecondAnswer(id_, "an event after the end")
+            for end in ends
+            for other in tries
+            if other is not end
+            and other.events
+            and other.events[-1].at_s > end.events[-1].at_s
+        ]
+        relays = [a for a in tries if a.events]
+        relays.sort(key=lambda a: a.events[0].at_s)
+        for old, new in itertools.pairwise(relays):
+            late = [e for e in old.events if e.at_s > new.events[0].at_s]
             if late:
                 found.append(SecondAnswer(id_, f"{len(late)} late events"))
     return found
@@ -216,6 +233,17 @@
     return found
 
 
+def fences_rise(h: History) -> list[Violation]:
+    """No engine acts for an older holder of the lease than before."""
+    highest: dict[str, int] = {}
+    found = []
+    for seen in sorted(h.model_orders, key=lambda seen: seen.at_s):
+        if seen.fence < highest.get(seen.engine, 0):
+            found.append(FenceFell(seen.engine, str(seen.fence)))
+        highest[seen.engine] = max(seen.fence, highest.get(seen.engine, 0))
+    return found
+
+
 def config_in_time(h: History) -> list[Violation]:
     """An accepted version is in force everywhere within the limit."""
     found = []
@@ -266,6 +294,7 @@
     orders_once,
     config_rises,
     config_in_time,
+    fences_rise,
     leaving,
     memory_freed,
 )
