--- a/bench/measure_caller.py
+++ b/bench/measure_caller.py
@@ -94,7 +94,7 @@
         self._fleet = fleet
         self._rng = random.Random(f"{seed}/callers")
         self._clock = virtual_loop.VirtualClock()
-        self._calls: dict[str, set[asyncio.Future]] = {}
+        self._calls: dict[str, dict[asyncio.Future, None]] = {}
         self.outcomes: list[Outcome] = []
 
     def reset(self, instance: str) -> None:
@@ -139,10 +139,10 @@
         call = asyncio.ensure_future(
             self._call(self._fleet.nodes[name], raw, _Sink(outcome, way_s))
         )
-        calls = self._calls.setdefault(name, set())
-        calls.add(call)
+        calls = self._calls.setdefault(name, {})
+        calls[call] = None
         await asyncio.wait({call})
-        calls.discard(call)
+        del calls[call]
         await asyncio.sleep(way_s)
         return None if call.cancelled() else call.result()
 
