Number the placements of a run, and let a takeover use the newest

Cause: a run that was placed twice could be known at one mirror by its first engine, when the second RunPlaced was lost or late; a takeover then asked the wrong engine, was told stream_unknown, and ended the run for all. Ruled out: the vote itself, which had its majority. Placements now carry a number that rises over attempts and generations; mirrors keep the highest, a takeover takes the highest, and stream_unknown withdraws the run in place of ending it.

--- a/packages/seam_model/seam_model/ids.py
+++ b/packages/seam_model/seam_model/ids.py
@@ -72,3 +72,8 @@
 def last_incarnation(generation: int) -> int:
     """Returns the highest engine incarnation of a generation."""
     return engine_incarnation(generation, ATTEMPTS_PER_GENERATION - 1)
+
+
+def generation_of(incarnation: int) -> int:
+    """Returns the generation of an engine incarnation."""
+    return incarnation // ATTEMPTS_PER_GENERATION
--- a/packages/seam_model/seam_model/peers.py
+++ b/packages/seam_model/seam_model/peers.py
@@ -62,6 +62,8 @@
     """Outcome of a run that has ended, else empty."""
     warming: bool = False
     """The mirror has just started and cannot vote yet."""
+    placed_as: int = 0
+    """Number of the placement that `engine` is from; the highest counts."""
 
 
 @attrs.frozen
@@ -69,7 +71,8 @@
     """Tells a mirror which engine holds the stream of a run."""
 
     request_id: bytes
-    generation: int
+    placed_as: int
+    """See `ids.engine_incarnation`; rises with each placement of a run."""
     engine: str
 
 
@@ -123,6 +126,7 @@
     engines: tuple[str, ...]
     ended: tuple[str, ...]
     tags: tuple[bytes, ...]
+    placed_as: tuple[int, ...]
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/controllers/mirror.py
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from seam_model import ids
 from seam_model import peers
 from seam_node import task
 from seam_node.controllers import membership
@@ -48,6 +49,7 @@
     engine: str = ""
     ended: str = ""
     tag: bytes = b""
+    placed_as: int = 0
     orphan_at: float | None = None
 
 
@@ -119,10 +121,8 @@
                 if _is_foreign(entry, tag):
                     return _foreign_answer()
                 return self._answer(entry, granted=not self.warming)
-            case peers.RunPlaced(request_id, generation, engine):
-                entry = self._entries.get(request_id)
-                if entry is not None and entry.generation == generation:
-                    entry.engine = engine
+            case peers.RunPlaced():
+                self._place(message)
             case peers.RunEnded(request_id, generation, outcome):
                 self._end(request_id, generation, outcome)
             case peers.RunReleased():
@@ -181,8 +181,18 @@
             entry.engine,
             entry.ended,
             self.warming,
+            entry.placed_as,
         )
 
+    def _place(self, message: peers.RunPlaced) -> None:
+        """Takes a placement, unless a newer one overtook it on its way."""
+        entry = self._entries.get(message.request_id)
+        if entry is None or message.placed_as < entry.placed_as:
+            return
+        if ids.generation_of(message.placed_as) == entry.generation:
+            entry.engine = message.engine
+            entry.placed_as = message.placed_as
+
     def _release(self, message: peers.RunReleased) -> None:
         entry = self._entries.get(message.request_id)
         if entry is None or entry.ended:
@@ -243,21 +253,21 @@
             if name in replica_names(request_id, listed)
         ]
         if not rows:
-            return peers.MirrorSyncAnswer((), (), (), (), (), (), ())
+            return peers.MirrorSyncAnswer((), (), (), (), (), (), (), ())
         return peers.MirrorSyncAnswer(*zip(*rows, strict=True))
 
     def _merge(self, answer: peers.MirrorSyncAnswer) -> None:
         columns = attrs.astuple(answer, recurse=False)
         now = self._clock.monotonic()
         for request_id, *values in zip(*columns, strict=True):
-            generation, instance, incarnation, engine, ended, tag = values
+            generation, instance, incarnation = values[:3]
             known = self._entries.get(request_id)
             if known is not None and known.generation > generation:
                 continue
             if known is not None and known.ended:
                 continue
             self._entries[request_id] = Entry(
-                generation, instance, incarnation, now, engine, ended, tag
+                generation, instance, incarnation, now, *values[3:]
             )
 
     # Watching over runs
@@ -362,4 +372,5 @@
         entry.engine,
         entry.ended,
         entry.tag,
+        entry.placed_as,
     )
--- a/packages/seam_node/seam_node/controllers/registry.py
+++ b/packages/seam_node/seam_node/controllers/registry.py
@@ -13,6 +13,7 @@
 import expression
 
 from seam_model import errors
+from seam_model import ids
 from seam_model import peers
 from seam_node import task
 from seam_node.controllers import membership
@@ -56,6 +57,7 @@
     generation: int
     tag: bytes
     engine: str = ""
+    placements: int = 0
     registered: bool = False
     known_at: set[tuple[str, int]] = attrs.field(factory=set)
     renewing: bool = False
@@ -138,7 +140,13 @@
         return [
             (
                 request_id,
-                mirror.Entry(*_holder(own, run), now, run.engine, tag=run.tag),
+                mirror.Entry(
+                    *_holder(own, run),
+                    now,
+                    run.engine,
+                    tag=run.tag,
+                    placed_as=_placed_as(run),
+                ),
             )
             for request_id, run in self._runs.items()
             if run.registered
@@ -161,7 +169,8 @@
         run = self._runs.get(request_id)
         if run is not None:
             run.engine = engine
-            self._tell_all(peers.RunPlaced(request_id, run.generation, engine))
+            run.placements += 1
+            self._tell_all(_placed(request_id, run))
 
     def ended(self, request_id: bytes, outcome: str) -> None:
         """Tells the mirrors that the run has ended."""
@@ -198,7 +207,8 @@
         ballot = await self._poll(request_id, peers.RunQuery(request_id, tag))
         known = [a for a in ballot.answers.values() if a.generation]
         known.sort(key=lambda a: a.generation, reverse=True)
-        engine = next((a.engine for a in known if a.engine), "")
+        newest = max(known, key=lambda a: a.placed_as, default=None)
+        engine = newest.engine if newest else ""
         for answer in known:
             if answer.ended == ENDED_WELL and engine:
                 taken = TakeOver(engine, answer.generation + 1, answer.ended)
@@ -397,8 +407,7 @@
                 self._fenced(request_id)
             return True
         if answer.ok.granted and run.engine:
-            placed = peers.RunPlaced(request_id, run.generation, run.engine)
-            await self._tell(name, placed)
+            await self._tell(name, _placed(request_id, run))
         return answer.ok.granted
 
 
@@ -406,6 +415,14 @@
     return (run.generation, own.name, own.incarnation)
 
 
+def _placed_as(run: _Run) -> int:
+    return ids.engine_incarnation(run.generation, run.placements)
+
+
+def _placed(request_id: bytes, run: _Run) -> peers.RunPlaced:
+    return peers.RunPlaced(request_id, _placed_as(run), run.engine)
+
+
 def _union(sets: tuple[tuple[str, ...], ...]) -> tuple[str, ...]:
     return tuple(dict.fromkeys(name for names in sets for name in names))
 
--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -17,7 +17,11 @@
 RESUME_TIMEOUT_S = 2.0
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.5
-_MAY_RUN_ON = (errors.EndpointLost, errors.EndpointUnreachable)
+_MAY_RUN_ON = (
+    errors.EndpointLost,
+    errors.EndpointUnreachable,
+    errors.StreamUnknown,
+)
 """After these another instance may still reach the stream."""
 
 
