Notice every pause in which a run may have been taken over

Cause: a pause was noticed only once the heartbeat was a second late, so after up to two seconds, while a takeover needs one: the holder's time to hand over. A process stopped for 1 to 2 s woke and sent its caller up to 132 more events of a run that another instance had taken over. Ruled out: the proof at the mirrors, which was never asked for; the engine's displacement, since those events waited in the stopped process's socket. A timer of 0.1 s now marks that the process runs, and a gap of 0.5 s asks for the proof.

--- a/packages/seam_node/seam_node/controllers/membership.py
+++ b/packages/seam_node/seam_node/controllers/membership.py
@@ -28,7 +28,10 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 SUSPECT_AFTER_S = 2.5
 DEAD_AFTER_S = 5.0
-PAUSE_LIMIT_S = 1.0
+PAUSE_TICK_S = 0.1
+PAUSE_LIMIT_S = 0.5
+"""Less than a holder is given to hand a run over: whoever did not run for
+longer may have lost its runs to another instance."""
 FLEET_POLL_S = 2.0
 LIST_GRACE_S = 10.0
 """How long who vanished from the list still counts as listed."""
@@ -113,7 +116,7 @@
         self._sequence = 0
         self._probe_turn = 0
         self._changed = False
-        self._tick_due: float | None = None
+        self._ran_at: float | None = None
         self._view = MembershipView(
             own, live=(_site(own),), instances={own.name: own}
         )
@@ -122,7 +125,7 @@
     async def start(self) -> None:
         """Starts polling, announcing and heartbeats."""
         await super().start()
-        self._due_next()
+        self.spawn(self._pause_loop())
         self.spawn(self._poll_loop())
         self.spawn(self._announce_loop())
         self.spawn(self._tick_loop())
@@ -139,9 +142,9 @@
         not wait for the heartbeat task to run first after a pause.
         """
         now = self._clock.monotonic()
-        if self._tick_due is None or now <= self._tick_due + PAUSE_LIMIT_S:
+        if self._ran_at is None or now - self._ran_at <= PAUSE_LIMIT_S:
             return self._view.wakes
-        self._tick_due = now
+        self._ran_at = now
         for peer in self._peers.values():
             peer.heard_at = now
         self._view = attrs.evolve(
@@ -181,8 +184,12 @@
     def _jittered(self, period_s: float) -> float:
         return period_s * (1 + JITTER * (2 * self._rng.random() - 1))
 
-    def _due_next(self) -> None:
-        self._tick_due = self._clock.monotonic() + HEARTBEAT_S
+    async def _pause_loop(self) -> None:
+        """Notes that the process runs, so that a pause shows as a gap."""
+        while True:
+            self.wakes()
+            self._ran_at = self._clock.monotonic()
+            await asyncio.sleep(PAUSE_TICK_S)
 
     async def _poll_loop(self) -> None:
         while True:
@@ -263,7 +270,6 @@
 
     def _on_tick(self) -> None:
         self.wakes()
-        self._due_next()
         self._judge()
         self._send_beats()
         self._publish()
--- a/tests/processes/test_instances.py
+++ b/tests/processes/test_instances.py
@@ -36,7 +36,7 @@
         assert [s["kind"] for s in mine].count("decode") == 1
         await world.nothing_held(clu)
 
-    world.run(test)
+    world.run(test, settled=True)
 
 
 def test_woken_instance_sends_nothing_after_the_takeover():
@@ -63,7 +63,7 @@
         world.check_whole(second, 700)
         await world.nothing_held(clu)
 
-    world.run(test)
+    world.run(test, settled=True)
 
 
 def test_drain_under_load_cuts_nothing_off():
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -11,6 +11,7 @@
 from bench import cluster
 from seam_model import endpoints
 from seam_model import ids
+from seam_node.controllers import registry
 from standins import engine_core
 
 WORKSPACE = "cebu-branch-1"
@@ -33,11 +34,16 @@
     return cluster.Layout(engines, (("ledger-1", "cebu-a"),), instances)
 
 
-def run(test, clu=None):
-    """Runs `test(cluster, caller)` on a cluster of its own."""
+def run(test, clu=None, settled=False):
+    """Runs `test(cluster, caller)` on a cluster of its own.
+
+    `settled` waits until the lists of the start no longer count. Before that,
+    an instance that was listed alone is needed for every takeover.
+    """
 
     async def main():
         async with started(clu) as (made, user):
+            await asyncio.sleep(registry.LIST_SETTLE_S if settled else 0)
             await test(made, user)
 
     asyncio.run(main())
--- a/tests/seam_node/controllers/test_membership.py
+++ b/tests/seam_node/controllers/test_membership.py
@@ -7,6 +7,7 @@
 
 from seam_node.controllers import membership
 from seam_node.controllers import membership_view
+from seam_node.controllers import registry
 from tests.seam_node.controllers import peer_world
 
 DEAD = membership_view.PeerState.DEAD
@@ -157,6 +158,18 @@
     peer_world.run(main())
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.3, 0.6, 0.9])
+def test_a_pause_in_which_a_run_may_be_taken_over_is_noticed(after_s):
+    async def main():
+        world = peer_world.World(random.Random(6))
+        nodes = await begin_all(world)
+        await asyncio.sleep(6.0 + after_s)
+        asyncio.get_running_loop().now += registry.HAND_OVER_TIMEOUT_S
+        assert nodes["a"].wakes() == 1
+
+    peer_world.run(main())
+
+
 def test_config_versions_are_passed_on():
     async def main():
         world = peer_world.World(random.Random(6))
