--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -14,6 +14,7 @@
 from seam_model import peers
 from seam_model import requests
 from seam_model import settings as node_settings
+from seam_node import chains
 from seam_node import entry
 from seam_node import gauges
 from seam_node import logs
@@ -42,22 +43,7 @@
 from seam_node.controllers import roles_wanted
 from seam_node.controllers import runs
 from seam_node.controllers import service_gate
-from seam_node.controllers import slots
-from seam_node.filters import account
-from seam_node.filters import admit
 from seam_node.filters import base
-from seam_node.filters import call
-from seam_node.filters import claim
-from seam_node.filters import deduplicate
-from seam_node.filters import identify
-from seam_node.filters import leave
-from seam_node.filters import limit
-from seam_node.filters import parse
-from seam_node.filters import place
-from seam_node.filters import retry
-from seam_node.filters import stream
-from seam_node.filters import supervise
-from seam_node.filters import transfer
 from seam_node.ports import clock
 from seam_node.ports import engine
 from seam_node.ports import peer
@@ -124,13 +110,13 @@
         self._make_roles()
         self._make_drain()
         self._make_observer()
-        self._limiter = limits.WorkspaceLimiter(
+        self.limiter = limits.WorkspaceLimiter(
             limits.WorkspaceLimits(1000.0, 1000.0, 1000)
         )
-        self._budget = retry_policy.RetryBudget()
+        self.budget = retry_policy.RetryBudget()
         self.config.subscribe(self._on_config)
-        self.generate_chain = base.Chain(self._generate_filters())
-        self.service_chain = base.Chain(self._service_filters())
+        self.generate_chain = chains.generate_chain(self)
+        self.service_chain = chains.service_chain(self)
         self._tasks = (
             self.config,
             self.members,
@@ -427,68 +413,6 @@
         )
         self.metrics.registry.register(gauges.StatusCollector(self.status))
 
-    def _generate_filters(self) -> list[base.Filter]:
-        """Returns the filters of model requests, outermost first."""
-        data_centre = self.record.data_centre
-        return [
-            account.AccountFilter(self.runs, self.metrics, self.log),
-            leave.LeaveFilter(self.drain, self.not_ready),
-            parse.ParseGenerateFilter(
-                self.settings.limits,
-                self.config.current,
-                self.directory,
-                data_centre,
-            ),
-            identify.IdentifyFilter(self.settings.workspaces.keys),
-            limit.LimitFilter(self._limiter, self.ports.clock),
-            deduplicate.DeduplicateFilter(
-                self.runs,
-                self.registry,
-                self.proof,
-                self.directory,
-                self.owner_id,
-            ),
-            supervise.SuperviseFilter(),
-            retry.RetryFilter(self._budget),
-            place.PlaceFilter(
-                self.directory,
-                slots.SlotClient(
-                    self.directory, self.ownership, self.ports.peers
-                ),
-                self.planner,
-            ),
-            transfer.TransferFilter(
-                self.directory,
-                self.planner,
-                bookings.BookingClient(
-                    self.ownership, self.ports.peers, self.planner
-                ),
-                self.registry,
-                self.metrics,
-                self.owner_id,
-            ),
-            stream.StreamFilter(self.directory, self.proof, self.owner_id),
-        ]
-
-    def _service_filters(self) -> list[base.Filter]:
-        """Returns the filters of service calls, outermost first."""
-        return [
-            account.AccountFilter(self.runs, self.metrics, self.log),
-            leave.LeaveFilter(self.drain, self.not_ready),
-            parse.ParseServiceFilter(
-                self.settings.limits,
-                self.config.current,
-                self.record.data_centre,
-            ),
-            identify.IdentifyFilter(self.settings.workspaces.keys),
-            limit.LimitFilter(self._limiter, self.ports.clock),
-            admit.AdmitFilter(self.gates),
-            claim.ClaimFilter(self.claims),
-            call.CallFilter(
-                self.directory, self.ports.services, self._budget, self.rng
-            ),
-        ]
-
     # Callbacks of controllers
 
     def _defaults(self) -> config.Defaults | None:
@@ -523,14 +447,14 @@
         self.log.event("config_in_force", version=cfg.version)
         names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
         own = config.resolve(cfg, self._scope(""))
-        self._limiter.configure(
+        self.limiter.configure(
             _limits(own.workspace),
             {
                 name: _limits(config.resolve(cfg, self._scope(name)).workspace)
                 for name in names
             },
         )
-        self._budget.configure(own.retry.budget_ratio)
+        self.budget.configure(own.retry.budget_ratio)
         self.drain.configure(cfg.defaults.drain.refuse_after_s)
         self.owner.tell(owner.Reconfigure())
 
