Leave a stream that is still read, also when its owner seems dead

Cause: behind a cut of more than detection and resume window, the mirrors took a living owner for dead and cancelled at the engine what it still relayed to its caller. Ruled out: the owner's own proof, which is only asked for after a pause. A mirror now reads the engine's load report first and waits while a reader is attached. Weighed: asking the owner through other instances, which does not help where all links to it are cut.

--- a/packages/seam_node/seam_node/controllers/mirror.py
+++ b/packages/seam_node/seam_node/controllers/mirror.py
@@ -63,6 +63,8 @@
     answer: peers.MirrorSyncAnswer
 
 
+IsRead = Callable[[str, bytes], Awaitable[bool]]
+"""Tells whether a stream at an engine may still have a reader."""
 Cancel = Callable[[str, bytes, int], Awaitable[bool]]
 """Cancels at an engine up to a generation; tells whether that was done."""
 
@@ -76,6 +78,7 @@
         network: peer_port.PeerNetwork,
         clock: clock_port.Clock,
         cancel: Cancel,
+        is_read: IsRead,
         own_runs: Callable[[], Iterable[tuple[bytes, Entry]]] = lambda: (),
         warm_bound_s: float = RUN_LIFE_S,
         resume_window_s: Callable[[], float] = lambda: RESUME_WINDOW_S,
@@ -91,6 +94,7 @@
         self._network = network
         self._clock = clock
         self._cancel = cancel
+        self._is_read = is_read
         self._own_runs = own_runs
         self._warm_bound_s = warm_bound_s
         self._entries: dict[bytes, Entry] = {}
@@ -313,6 +317,9 @@
         self, request_id: bytes, entry: Entry, names: tuple[str, ...]
     ) -> None:
         generation = entry.generation
+        # Behind a cut, an owner that seems dead may still serve its caller.
+        if entry.engine and await self._is_read(entry.engine, request_id):
+            return
         if entry.engine and not await self._cancel(
             entry.engine, request_id, generation
         ):
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -308,6 +308,7 @@
             ports.peers,
             ports.clock,
             self._cancel_at_engine,
+            self._is_read_at_engine,
             self.registry.own_runs,
             resume_window_s=self._resume_window_s,
         )
@@ -535,6 +536,19 @@
         )
         return done.is_ok()
 
+    async def _is_read_at_engine(self, name: str, request_id: bytes) -> bool:
+        """Tells whether a reader is attached, or can't be ruled out."""
+        if self.directory.record(name) is None:
+            return False
+        report = await self.directory.engine(name).load()
+        if report.is_error():
+            return True
+        wanted = ids.unpack(request_id)
+        return any(
+            held.request_id == wanted and held.idle_s <= 0.0
+            for held in report.ok.streams
+        )
+
     def _reaped(self, held: endpoints.HeldStream) -> None:
         self.metrics.stream_reaped()
         self.log.event(
--- a/tests/proofs/test_runs_resume.py
+++ b/tests/proofs/test_runs_resume.py
@@ -10,6 +10,7 @@
 from seam_node.controllers import membership
 from seam_node.controllers import mirror
 
+LONG_TOKENS = 1200
 TOKENS = 40
 
 
@@ -176,3 +177,32 @@
     found_s = membership.DEAD_AFTER_S + membership.HEARTBEAT_S
     window_s = mirror.RESUME_WINDOW_S + mirror.SWEEP_S + 1.0
     assert waited_s <= found_s + window_s + deaths * mirror.CANCEL_FALLBACK_S
+
+
+@pytest.mark.parametrize("seed", fleet.seeds(2))
+def test_long_cut_between_instances_ends_no_stream(seed):
+    """Mirrors that lost the owner leave a stream that it still reads."""
+
+    async def scenario(flt, clients):
+        name = flt.rng.choice(flt.names)
+        conns = [
+            clients.open(
+                callers.Answer(clients.new_id()),
+                name,
+                max_tokens=LONG_TOKENS,
+                rank="other",
+            )
+            for _ in range(4)
+        ]
+        await asyncio.sleep(2.0)
+        flt.part(name)
+        await asyncio.sleep(25.0)
+        flt.links.heal()
+        await asyncio.sleep(15.0)
+        await flt.quiet()
+        return [conn.answered() for conn in conns], callers.taken(flt)
+
+    found, (answered, used) = callers.session(seed, scenario)
+    assert all(answered)
+    assert not found
+    assert not used
--- a/tests/seam_node/controllers/test_registry.py
+++ b/tests/seam_node/controllers/test_registry.py
@@ -43,6 +43,7 @@
             self.network,
             clock,
             self.on_cancel,
+            self.on_is_read,
             self.registry.own_runs,
         )
 
@@ -53,6 +54,9 @@
         self.cancelled.append((engine, request_id, generation))
         return True
 
+    async def on_is_read(self, engine, request_id):
+        return False
+
     async def start(self):
         await self.network.start()
         for part in (self.members, self.registry, self.mirror):
