Let the speed tool's streams wait for their first token

Cause of the slow relay (9,259 and 3,790 tokens a core-second, 99,066 and 49,533 of 225,000 tokens): the bookings of prefills refuse a burst of 150 streams to one engine whose first tokens can't come in 0.49 s, and the tool sent the refused ones again at once. Ruled out: the ledgers' size and the relay itself (refusals counted: 56 of 100, prefill queue is too long).

--- a/bench/speed.py
+++ b/bench/speed.py
@@ -34,6 +34,8 @@
 OPEN_STREAMS = 200
 LOADERS = 3
 READ_BYTES = 1 << 20
+FIRST_TOKEN_S = 60.0
+"""Wide, so that a burst to one prefill engine is queued and not refused."""
 SEND_TRIES = 50
 SEND_PAUSE_S = 0.1
 MEASURES = ("first_token", "relay", "calls", "memory")
@@ -102,6 +104,7 @@
         "prompt": "sponsor file " * 20,
         "max_tokens": tokens,
         "deadline_s": 600.0,
+        "first_token_s": FIRST_TOKEN_S,
     }
 
 
