Judge prefill and decode engines by one eligibility check; drop a dead list

placement._may_prefill repeated is_eligible line by line for the other kind of engine; both kinds now use is_eligible. EngineDirectory._watchers was never read.

--- a/packages/seam_node/seam_node/controllers/engines.py
+++ b/packages/seam_node/seam_node/controllers/engines.py
@@ -5,7 +5,6 @@
 bounded number of engines only.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
 
 import attrs
@@ -44,7 +43,6 @@
         self._hints: dict[tuple[str, int], Hint] = {}
         self._suspects: dict[str, float] = {}
         self._doubts: dict[str, float] = {}
-        self._watchers: list[Callable[[], None]] = []
 
     def update(self, records: Iterable[endpoints.EndpointRecord]) -> None:
         """Replaces the records by those of a newer list."""
--- a/packages/seam_policy/seam_policy/placement.py
+++ b/packages/seam_policy/seam_policy/placement.py
@@ -58,7 +58,10 @@
     kv_bytes_per_token: int = 0
 
 
-def is_eligible(need: DecodeNeed, candidate: DecodeCandidate) -> bool:
+def is_eligible(
+    need: "DecodeNeed | PrefillNeed",
+    candidate: "DecodeCandidate | PrefillCandidate",
+) -> bool:
     """Tells whether an engine may take new work of this kind."""
     if candidate.leaving or candidate.silent:
         return False
@@ -315,7 +318,7 @@
     request_hash = _request_hash(seed, need.request_id)
     found = []
     for candidate in candidates:
-        if not _may_prefill(need, candidate):
+        if not is_eligible(need, candidate):
             continue
         transfer_s = transfer_time(need, candidate)
         if transfer_s > candidate.kv_life_s * KV_LIFE_SHARE:
@@ -327,11 +330,3 @@
         found.append((choice.lead_s, tie, choice))
     found.sort(key=lambda entry: entry[:2])
     return tuple(entry[2] for entry in found)
-
-
-def _may_prefill(need: PrefillNeed, candidate: PrefillCandidate) -> bool:
-    if candidate.leaving or candidate.silent:
-        return False
-    if need.model not in candidate.models:
-        return False
-    return not need.adapter or need.adapter in candidate.adapters
