Let orders of stages follow one another; split large services to the engine

Cause: 22 engines start as 8 for prefill and 14 for decode; an order was due only for a gain of 15%, which no single engine brings there, and the next one waited 13 s, also after an order that the engine had accepted. Ruled out: the lease (held at the first try), engines that refuse orders.

Now an accepted order lets the next one follow at once, one without an answer still holds all others back for 13 s, and a gain of 5% is enough. A function that nobody called is gone.

What binds next: prefills that queue at one engine while others idle, preempted streams, late drafts that take places of new ones.

--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -1,12 +1,15 @@
 """Gives engines the stage in which they are needed most.
 
-Only the instance that holds the lease gives orders, one at a time. It asks
-for the lease only while an order is due, so that a fleet whose stages fit
-costs the platform nothing.
+Only the instance that holds the lease gives orders. The next one follows as
+soon as an engine has accepted the one before; an order without an answer may
+still be carried out, so the others wait until that is over. The lease is asked
+for only while an order is due, so that a fleet whose stages fit costs the
+platform nothing.
 """
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import attrs
 
@@ -35,8 +38,9 @@
 """How long the list of engines must stay the same before an order."""
 SETTLE_LOSS_S = 2.5
 """The same after some were lost, which often come back."""
-ORDER_PAUSE_S = 13.0
-"""Pause after an order; one without an answer has been carried out by then."""
+UNCERTAIN_S = 13.0
+"""Time after which an order without an answer has been carried out, if it
+ever is."""
 
 
 @attrs.frozen
@@ -47,6 +51,15 @@
     stage: forwarding.Stage
 
 
+@attrs.frozen
+class _Accepted:
+    """An order that an engine carries out."""
+
+    stage: forwarding.Stage
+    until: float
+    """When the engine should announce its new stage at the latest."""
+
+
 class StageController:
     """Compares the engines of each service with what the load needs."""
 
@@ -82,7 +95,9 @@
         self._lease: lease.LeaseController | None = None
         self._due: _Due | None = None
         self._observe_at = float("-inf")
-        self._seen: tuple[str, ...] = ()
+        self._accepted: dict[str, _Accepted] = {}
+        """Orders whose engines still announce their earlier stage, by key."""
+        self._seen: frozenset[str] = frozenset()
         self._settled_at = float("inf")
         self._next_order_at = float("-inf")
         self._task: asyncio.Task | None = None
@@ -158,33 +173,57 @@
         return None
 
     def _is_settled(self, engines: list[forwarding.Endpoint]) -> bool:
-        """Tells whether the engines have stayed the same for a while."""
-        seen = tuple(sorted(f"{e.key}/{e.stage.value}" for e in engines))
+        """Tells whether the same engines have been there for a while."""
+        seen = frozenset(each.key for each in engines)
         now = self._now()
         if seen != self._seen:
-            joined = set(self._seen) <= set(seen)
-            quick = joined or _lacks_a_stage(engines)
+            quick = self._seen <= seen or self._lacks_a_stage(engines)
             settle_s = SETTLE_S if quick else SETTLE_LOSS_S
-            self._settled_at = max(self._next_order_at, now + settle_s)
+            self._settled_at = now + settle_s
             self._seen = seen
-        return now >= self._settled_at
+        return now >= max(self._settled_at, self._next_order_at)
 
     def _due_of(self, spec: forwarding.ServiceSpec) -> _Due | None:
         if spec.engine is None:
             return None
         engines = self._endpoints.usable(spec.name)
-        prefill = [e for e in engines if e.stage is forwarding.Stage.PREFILL]
-        decode = [e for e in engines if e.stage is forwarding.Stage.DECODE]
+        prefill = self._in_stage(engines, forwarding.Stage.PREFILL)
+        decode = self._in_stage(engines, forwarding.Stage.DECODE)
         current = stage_balance.Split(len(prefill), len(decode))
         size = stage_balance.EngineSize(
             spec.engine.slots, spec.engine.kv_tokens
         )
         best = stage_balance.wanted(current, size, self._load.current())
-        if best.prefill < current.prefill:
-            return _Due(_most_crowded(prefill), forwarding.Stage.DECODE)
-        if best.prefill > current.prefill:
-            return _Due(_most_crowded(decode), forwarding.Stage.PREFILL)
-        return None
+        if best.prefill == current.prefill:
+            return None
+        fewer, stage = (
+            (prefill, forwarding.Stage.DECODE)
+            if best.prefill < current.prefill
+            else (decode, forwarding.Stage.PREFILL)
+        )
+        free = [each for each in fewer if each.key not in self._accepted]
+        return _Due(_most_crowded(free), stage) if free else None
+
+    def _in_stage(
+        self,
+        engines: Sequence[forwarding.Endpoint],
+        stage: forwarding.Stage,
+    ) -> list[forwarding.Endpoint]:
+        """Returns the engines that have a stage or were ordered to it."""
+        return [each for each in engines if self._stage_of(each) is stage]
+
+    def _stage_of(self, engine: forwarding.Endpoint) -> forwarding.Stage:
+        accepted = self._accepted.get(engine.key)
+        if accepted is None:
+            return engine.stage
+        if accepted.stage is engine.stage or accepted.until <= self._now():
+            del self._accepted[engine.key]
+            return engine.stage
+        return accepted.stage
+
+    def _lacks_a_stage(self, engines: list[forwarding.Endpoint]) -> bool:
+        stages = {self._stage_of(each) for each in engines}
+        return len(engines) > 1 and len(stages) == 1
 
     async def _order(self, due: _Due) -> None:
         address = due.endpoint.address
@@ -199,8 +238,7 @@
             return
         if self._lease.valid_for(self._now()) <= ORDER_TIMEOUT_S:
             return
-        self._next_order_at = self._now() + ORDER_PAUSE_S
-        self._settled_at = self._next_order_at
+        self._next_order_at = self._now() + UNCERTAIN_S
         fence = self._lease.fence()
         self._stats.avoid(due.endpoint.key, self._now() + CHANGE_S)
         self._tell()
@@ -211,7 +249,11 @@
             self._codec.order(due.endpoint, order),
             ORDER_TIMEOUT_S,
         )
-        if done.is_error() and isinstance(done.error, errors.EndpointRefused):
+        if done.is_ok():
+            until = self._now() + CHANGE_S
+            self._accepted[due.endpoint.key] = _Accepted(due.stage, until)
+            self._next_order_at = self._now()
+        elif isinstance(done.error, errors.EndpointRefused):
             self._stats.stop_avoiding(due.endpoint.key)
         self._log.event(
             "stage_ordered",
@@ -224,11 +266,6 @@
         )
 
 
-def _lacks_a_stage(engines: list[forwarding.Endpoint]) -> bool:
-    stages = {each.stage for each in engines}
-    return len(engines) > 1 and len(stages) == 1
-
-
 def _most_crowded(
     engines: list[forwarding.Endpoint],
 ) -> forwarding.Endpoint:
--- a/packages/seam_policy/seam_policy/stage_balance.py
+++ b/packages/seam_policy/seam_policy/stage_balance.py
@@ -11,9 +11,7 @@
 """Use of the prefill engines above which prompts queue too long."""
 MEMORY_USE = 0.8
 """Use of the decode engines' memory above which streams are refused."""
-LONE_SHARE = 0.8
-"""Worth of a rate that hangs on a single prefill engine."""
-LEAST_GAIN = 1.15
+LEAST_GAIN = 1.05
 """Rise of the rate for which an engine changes its stage."""
 
 
@@ -61,12 +59,6 @@
     return min(decoded, prefilled)
 
 
-def _value(split: Split, size: EngineSize, load: Workload) -> float:
-    """Returns the rate, less where one loss would empty the first stage."""
-    lone = split.prefill == 1 and split.total > 2
-    return rate(split, size, load) * (LONE_SHARE if lone else 1.0)
-
-
 def wanted(current: Split, size: EngineSize, load: Workload) -> Split:
     """Returns the split to move towards; the current one if it will do.
 
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from seam_node.forward import node
+from seam_node.forward import stages
 from standins import forward_endpoint
 from standins import forward_world
 
@@ -164,6 +165,47 @@
     return next(each for each in engines if each.orders)
 
 
+def test_orders_follow_one_another_once_they_are_accepted():
+    """A service starts with far too many prefill engines."""
+
+    async def scenario(world):
+        engines = [
+            await world.engine(f"prefill-{number}", "prefill")
+            for number in range(5)
+        ]
+        await world.engine("decode-0", "decode")
+        await world.until(lambda: sum(len(e.orders) for e in engines) == 3)
+        assert all(len(engine.orders) <= 1 for engine in engines)
+
+    forward_world.play(scenario)
+
+
+def test_an_order_without_an_answer_holds_the_next_one_back():
+    async def scenario(world):
+        async def silent_to_orders(endpoint, seen, writer):
+            if seen.target.startswith("/sycamoreseam/order"):
+                endpoint.orders.append(seen.body)
+                await asyncio.sleep(forward_world.WAIT_S)
+            else:
+                await forward_endpoint.reply_engine(endpoint, seen, writer)
+
+        engines = [
+            await world.endpoint(
+                f"prefill-{number}",
+                forward_world.ENGINES,
+                silent_to_orders,
+                "prefill",
+            )
+            for number in range(5)
+        ]
+        await world.engine("decode-0", "decode")
+        await world.until(lambda: world.logged("stage_ordered"))
+        await asyncio.sleep(3 * stages.CHECK_S)
+        assert sum(len(engine.orders) for engine in engines) == 1
+
+    forward_world.play(scenario)
+
+
 def test_an_order_carries_fence_and_precondition():
     async def scenario(world):
         changing = await ordered_engine(world)
--- a/tests/seam_policy/test_stage_balance.py
+++ b/tests/seam_policy/test_stage_balance.py
@@ -5,6 +5,7 @@
 LOAD = stage_balance.Workload(5000.0, 4000.0, 1200.0, 50_000.0)
 SMALL = stage_balance.EngineSize(24, 71_867)
 LARGE = stage_balance.EngineSize(64, 100_615)
+NARROW = stage_balance.EngineSize(12, 66_117)
 
 
 def wanted(prefill, decode, size=SMALL, load=LOAD):
@@ -49,3 +50,15 @@
     for prefill in range(1, 6):
         best = wanted(prefill, 6 - prefill)
         assert wanted(*best) == best
+
+
+def test_a_large_service_is_split_to_the_engine():
+    """Each of many engines is a small part of the rate; all of them count."""
+    assert wanted(8, 14, NARROW) == (6, 16)
+    assert wanted(7, 15, NARROW) == (6, 16)
+
+
+def test_wanted_split_of_a_large_service_is_stable():
+    for prefill in range(1, 22):
+        best = wanted(prefill, 22 - prefill, NARROW)
+        assert wanted(*best, NARROW) == best
