Book prompts at prefill engines by the word of all instances

Cause: an instance knew only its own prompts at a prefill engine. Of 64 instances each sends one prompt in three seconds, so all of them took the same engine to be idle: median time of a prefill 0.20 s for 0.1 s of work, with a third of the engines' time in use. Ruled out: slow engines (the rates seen are those of the sheet), transfers (first event 0.02 s after the prefill).

Each heartbeat names the prompts sent within the last second; whoever hears it books them, and what is booked is worked off as time passes. Heartbeats of one step of the loop are sent as one.

--- a/packages/seam_node/seam_node/forward/call_stats.py
+++ b/packages/seam_node/seam_node/forward/call_stats.py
@@ -50,6 +50,10 @@
             self._prefills[endpoint.key] = record
         return record
 
+    def known_prefill(self, key: str) -> prefill_choice.PrefillRecord | None:
+        """Returns the record of an incarnation, if there is one."""
+        return self._prefills.get(key)
+
     def kv(self, endpoint: forwarding.Endpoint) -> kv_trust.KvTrust:
         """Returns what is known of the KV caches of a prefill engine."""
         return self._kv.setdefault(endpoint.key, kv_trust.KvTrust())
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -10,6 +10,7 @@
 from seam_node.forward import context
 from seam_node.forward import engine_access
 from seam_node.forward import exchange
+from seam_node.forward import prefill_queues
 from seam_node.forward import sends
 from seam_node.forward.filters import base
 from seam_node.ports import wire
@@ -26,15 +27,17 @@
         self,
         access: engine_access.EngineAccess,
         sender: sends.Sender,
+        queues: prefill_queues.PrefillQueues,
         distance_s: Callable[[str], float],
         tell: Callable[[], None],
     ):
-        """Takes the engines and how to call them."""
+        """Takes the engines, their queues and how to call them."""
         self._endpoints = access.endpoints
         self._stats = access.stats
         self._client = access.client
         self._codec = access.codec
         self._sender = sender
+        self._queues = queues
         self._releases = access.releases
         self._distance_s = distance_s
         self._tell = tell
@@ -131,6 +134,7 @@
                 for each in open_now
             ],
             ctx.req.prompt.tokens,
+            ctx.now(),
         )
         return engines[chosen.key]
 
@@ -138,19 +142,15 @@
         self, ctx: context.ForwardContext, engine: forwarding.Endpoint
     ) -> expression.Result[context.PrefilledKv, errors.EndpointError]:
         ctx.prefills += 1
-        record = self._stats.prefill(engine)
         tokens = ctx.req.prompt.tokens
-        record.waiting_tokens += tokens
+        queued_s = self._queues.send(engine, tokens)
         started_at = ctx.now()
         left_s = ctx.remaining_s()
         options = wire.SendOptions(left_s, rank=ctx.route.rank)
         call = self._codec.prefill(ctx.req, engine, options)
-        try:
-            asked = await exchange.ask(
-                self._client, engine.address, call, min(TIMEOUT_S, left_s)
-            )
-        finally:
-            record.waiting_tokens -= tokens
+        asked = await exchange.ask(
+            self._client, engine.address, call, min(TIMEOUT_S, left_s)
+        )
         if asked.is_error():
             if isinstance(asked.error, errors.EndpointUnreachable):
                 until = ctx.now() + call_stats.UNREACHABLE_S
@@ -163,11 +163,11 @@
             request=ctx.req.id,
             endpoint=engine.key,
             tokens=tokens,
-            queued_tokens=record.waiting_tokens,
+            queued_s=round(queued_s, 4),
             took_s=round(took_s, 4),
             left_s=round(ctx.remaining_s(), 3),
         )
-        record.note(tokens, took_s)
+        self._stats.prefill(engine).note(tokens, took_s, queued_s)
         done = self._codec.prefill_done(asked.ok)
         if done is None:
             return expression.Error(
--- a/packages/seam_node/seam_node/forward/heartbeats.py
+++ b/packages/seam_node/seam_node/forward/heartbeats.py
@@ -31,6 +31,18 @@
     """How much longer it should get none."""
 
 
+@attrs.frozen
+class PrefillSent:
+    """A prompt that an instance sent to a prefill engine a moment ago."""
+
+    number: int
+    """Counts the instance's prompts, so that none is taken twice."""
+    key: str
+    """Incarnation of the prefill engine."""
+    tokens: int
+    age_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """What an instance says of itself."""
@@ -43,6 +55,7 @@
     avoided: tuple[Avoided, ...] = ()
     waiting: waiting_line.Waiting | None = None
     """The first request that waits for a decode place."""
+    prefills: tuple[PrefillSent, ...] = ()
 
 
 def _pack_use(use: EngineUse) -> list:
@@ -76,6 +89,15 @@
     return waiting_line.Waiting(int(rank), bool(late), float(waited_s))
 
 
+def _pack_prefill(sent: PrefillSent) -> list:
+    return [sent.number, sent.key, sent.tokens, round(sent.age_s, 4)]
+
+
+def _unpack_prefill(fields: list) -> PrefillSent:
+    number, key, tokens, age_s = fields
+    return PrefillSent(int(number), str(key), int(tokens), float(age_s))
+
+
 def encode(beat: Heartbeat) -> bytes:
     """Returns a datagram."""
     entry = beat.entry
@@ -94,6 +116,7 @@
             [_pack_use(use) for use in beat.uses],
             [(each.key, round(each.left_s, 3)) for each in beat.avoided],
             _pack_waiting(beat.waiting),
+            [_pack_prefill(sent) for sent in beat.prefills],
         )
     )
 
@@ -118,8 +141,11 @@
         parsed = tuple(_unpack_use(use) for use in uses)
         avoided = tuple(Avoided(str(key), float(s)) for key, s in shut)
         waiting = _unpack_waiting(first)
+        # Instances of an earlier version do not say what they sent.
+        sent = fields[13] if len(fields) > 13 else ()
+        prefills = tuple(_unpack_prefill(each) for each in sent)
     except (ValueError, TypeError, IndexError, msgpack.UnpackException):
         return None
     return Heartbeat(
-        entry, bool(serving), int(version), parsed, avoided, waiting
+        entry, bool(serving), int(version), parsed, avoided, waiting, prefills
     )
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -29,6 +29,7 @@
 from seam_node.forward import handler
 from seam_node.forward import heartbeats
 from seam_node.forward import peers
+from seam_node.forward import prefill_queues
 from seam_node.forward import sends
 from seam_node.forward import stages
 from seam_node.forward import store_link
@@ -253,6 +254,9 @@
         self.places = decode_places.DecodePlaces(
             self.room, self.peers.heard, self.peers.tell, self.load, self._now
         )
+        self.queues = prefill_queues.PrefillQueues(
+            self.stats, self.peers.tell, self._now
+        )
         self.endpoints.on_gone = self._on_gone
         self.endpoints.on_stage = lambda each: self.stats.stop_avoiding(
             each.key
@@ -315,7 +319,11 @@
                 attempt.AttemptFilter(self.sender, self.log),
                 place.PlaceFilter(self.places),
                 prefill.PrefillFilter(
-                    self._engines, self.sender, distance_s, self.peers.tell
+                    self._engines,
+                    self.sender,
+                    self.queues,
+                    distance_s,
+                    self.peers.tell,
                 ),
                 decode.DecodeFilter(self.sender, self.ports.wire, self.stats),
             ]
@@ -366,6 +374,7 @@
             self.room.uses(),
             self._avoided(),
             self.places.waiting(),
+            self.queues.recent(),
         )
 
     def _avoided(self) -> tuple[heartbeats.Avoided, ...]:
@@ -378,6 +387,7 @@
     def _on_beat(self, beat: heartbeats.Heartbeat) -> None:
         for each in beat.avoided:
             self.stats.avoid(each.key, self._now() + each.left_s)
+        self.queues.take(beat)
 
     def _order_turn(self) -> int:
         """Returns how many serving instances come before this one."""
--- a/packages/seam_node/seam_node/forward/peers.py
+++ b/packages/seam_node/seam_node/forward/peers.py
@@ -75,6 +75,8 @@
         self._peers: dict[str, _Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: list[asyncio.Task] = []
+        self._due: asyncio.Handle | None = None
+        """The heartbeat that is about to be sent."""
 
     async def start(self) -> None:
         """Binds the port and starts to send."""
@@ -93,6 +95,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._due is not None:
+            self._due.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -110,7 +114,16 @@
         return [each.heartbeat for each in self.heard()]
 
     def tell(self) -> None:
-        """Sends a heartbeat to every instance at once."""
+        """Sends a heartbeat as soon as the caller waits for something.
+
+        So one heartbeat tells of all that changes at the same moment.
+        """
+        if self._due is None:
+            self._due = asyncio.get_running_loop().call_soon(self._send)
+
+    def _send(self) -> None:
+        """Sends a heartbeat to every instance."""
+        self._due = None
         if self._transport is None or self._transport.is_closing():
             return
         data = heartbeats.encode(self._describe())
@@ -167,7 +180,7 @@
 
     async def _beat(self) -> None:
         while True:
-            self.tell()
+            self._send()
             self._forget_silent()
             await asyncio.sleep(self.beat_s())
 
--- a/packages/seam_policy/seam_policy/prefill_choice.py
+++ b/packages/seam_policy/seam_policy/prefill_choice.py
@@ -1,8 +1,10 @@
 """Which prefill engine computes a prompt.
 
-The one that is expected to end first: prompts queue there one after the
-other, so the tokens that this instance has waiting there count, and the
-rate that was seen there covers what other instances send.
+The one that is expected to end first. Prompts queue there one after the other,
+so the prompts that all instances sent there lately count; what they need is
+taken off as time passes, so that no word is needed when a prefill ends. Answers
+the load pattern of a large fleet in which each instance sends few prompts, and
+all would choose the same idle engine.
 """
 
 from collections.abc import Sequence
@@ -23,16 +25,31 @@
 
     def __init__(self) -> None:
         """Starts idle, with a usual rate."""
-        self.waiting_tokens = 0
-        """Prompt tokens of this instance that are not done yet."""
+        self._busy_until = float("-inf")
         self.rate = estimate.PeakRate(START_TOKENS_S)
         self.delay = estimate.Ewma(0.0)
-        """Seconds over what the prompt itself takes."""
+        """Seconds over what the known queue and the prompt itself take."""
 
-    def note(self, tokens: int, seconds: float) -> None:
-        """Takes the time of a finished prefill."""
+    def book(self, tokens: int, sent_at: float) -> None:
+        """Adds a prompt to the queue, whichever instance sent it."""
+        started_at = max(self._busy_until, sent_at)
+        self._busy_until = started_at + tokens / self.rate.rate
+
+    def queued_s(self, now: float) -> float:
+        """Returns how long a prompt that is sent now should wait."""
+        return max(0.0, self._busy_until - now)
+
+    def note(self, tokens: int, seconds: float, queued_s: float = 0.0) -> None:
+        """Takes the time of a finished prefill.
+
+        Args:
+            tokens: length of the prompt.
+            seconds: time from the send to the answer.
+            queued_s: part of it that was expected to be spent waiting.
+        """
         self.rate.add(tokens, seconds)
-        self.delay.add(max(0.0, seconds - tokens / self.rate.rate))
+        expected_s = queued_s + tokens / self.rate.rate
+        self.delay.add(max(0.0, seconds - expected_s))
 
 
 @attrs.frozen
@@ -48,21 +65,22 @@
     """Share of its prefills that failed lately."""
 
 
-def cost_s(candidate: PrefillCandidate, tokens: int) -> float:
-    """Returns when the prompt's KV should be at the decode engine."""
+def cost_s(candidate: PrefillCandidate, tokens: int, now: float) -> float:
+    """Returns in how many seconds the KV should be at the decode engine."""
     record = candidate.record
-    queued = record.waiting_tokens + tokens
     moving_s = 0.0 if candidate.to_decode_local else REMOTE_TRANSFER_S
-    work_s = queued / record.rate.rate
+    work_s = record.queued_s(now) + tokens / record.rate.rate
     failing_s = candidate.failing * FAILURE_COST_S
     way_s = 2 * candidate.one_way_s + moving_s
     return work_s + record.delay.value + way_s + failing_s
 
 
 def choose(
-    candidates: Sequence[PrefillCandidate], tokens: int
+    candidates: Sequence[PrefillCandidate], tokens: int, now: float
 ) -> PrefillCandidate | None:
     """Returns the engine that should end first."""
     if not candidates:
         return None
-    return min(candidates, key=lambda each: (cost_s(each, tokens), each.key))
+    return min(
+        candidates, key=lambda each: (cost_s(each, tokens, now), each.key)
+    )
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import expression
 import msgpack
 import pytest
@@ -38,6 +39,7 @@
         (heartbeats.EngineUse("e/1", kv_forecast.Profile(3, needs)),),
         (heartbeats.Avoided("e/2", 1.5),),
         waiting_line.Waiting(0, True, 0.25),
+        (heartbeats.PrefillSent(9, "p/1", 5000, 0.125),),
     )
 
 
@@ -45,6 +47,12 @@
     assert heartbeats.decode(heartbeats.encode(beat())) == beat()
 
 
+def test_a_heartbeat_of_an_earlier_version_is_read():
+    fields = msgpack.unpackb(heartbeats.encode(beat()))
+    found = heartbeats.decode(msgpack.packb(fields[:13]))
+    assert found == attrs.evolve(beat(), prefills=())
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/seam_policy/test_prefill_choice.py
+++ b/tests/seam_policy/test_prefill_choice.py
@@ -5,7 +5,7 @@
 
 def engine(key, waiting=0, one_way_s=0.0, local=True, failing=0.0):
     record = prefill_choice.PrefillRecord()
-    record.waiting_tokens = waiting
+    record.book(waiting, 0.0)
     return prefill_choice.PrefillCandidate(
         key, one_way_s, local, record, failing
     )
@@ -13,36 +13,53 @@
 
 def test_the_shorter_queue_wins():
     engines = [engine("a", waiting=20_000), engine("b", one_way_s=0.0045)]
-    assert prefill_choice.choose(engines, 5000).key == "b"
+    assert prefill_choice.choose(engines, 5000, 0.0).key == "b"
 
 
 def test_the_decode_engines_data_centre_wins_at_equal_queues():
     engines = [engine("a", local=False), engine("b")]
-    assert prefill_choice.choose(engines, 5000).key == "b"
+    assert prefill_choice.choose(engines, 5000, 0.0).key == "b"
 
 
 def test_a_burst_is_spread_over_the_engines():
     engines = [engine("a"), engine("b"), engine("c")]
     got = dict.fromkeys("abc", 0)
     for _ in range(30):
-        chosen = prefill_choice.choose(engines, 5000)
-        chosen.record.waiting_tokens += 5000
+        chosen = prefill_choice.choose(engines, 5000, 0.0)
+        chosen.record.book(5000, 0.0)
         got[chosen.key] += 1
     assert set(got.values()) == {10}
 
 
+def test_a_queue_is_worked_off_without_a_word():
+    record = prefill_choice.PrefillRecord()
+    record.book(8000, 10.0)
+    assert round(record.queued_s(10.0), 3) == 0.2
+    record.book(8000, 10.1)
+    assert round(record.queued_s(10.1), 3) == 0.3
+    assert record.queued_s(10.5) == 0.0
+
+
+def test_a_wait_that_was_expected_is_no_delay_of_the_engine():
+    record = prefill_choice.PrefillRecord()
+    record.note(5000, 0.1)
+    for _ in range(10):
+        record.note(5000, 0.3, queued_s=0.2)
+    assert record.delay.value < 0.01
+
+
 def test_engine_slowed_by_others_is_found_by_its_delays():
     engines = [engine("a"), engine("b")]
     for _ in range(10):
         engines[0].record.note(5000, 0.5)
         engines[1].record.note(5000, 0.1)
-    assert prefill_choice.choose(engines, 5000).key == "b"
+    assert prefill_choice.choose(engines, 5000, 0.0).key == "b"
 
 
 def test_an_engine_that_fails_part_of_its_prefills_gets_few():
     engines = [engine("grey", failing=0.4), engine("a", waiting=10_000)]
-    assert prefill_choice.choose(engines, 5000).key == "a"
+    assert prefill_choice.choose(engines, 5000, 0.0).key == "a"
 
 
 def test_no_engine():
-    assert prefill_choice.choose([], 5000) is None
+    assert prefill_choice.choose([], 5000, 0.0) is None
