Tell the other instances of a decode place before its engine is asked

Ruled out: the forecast itself (streams placed at engines that were forecast below seven tenths full were never preempted).

--- a/packages/seam_node/seam_node/forward/decode_places.py
+++ b/packages/seam_node/seam_node/forward/decode_places.py
@@ -100,7 +100,6 @@
         """Gives a place back."""
         self._room.release(place, used)
         self._freed.set()
-        self._tell()
 
     # Waiting
 
@@ -154,7 +153,6 @@
             place = await self._room.reserve(ctx, choice)
         if place is None:
             return expression.Error(errors.NoDecodePlace(len(choice.engines)))
-        self._tell()
         return expression.Ok(place)
 
     def _is_first(self, ticket: waiting_line.Ticket) -> bool:
--- a/packages/seam_node/seam_node/forward/engine_room.py
+++ b/packages/seam_node/seam_node/forward/engine_room.py
@@ -49,17 +49,28 @@
         self,
         access: engine_access.EngineAccess,
         heard: Callable[[], list[peers.Heard]],
+        tell: Callable[[], None],
         load: workload.WorkloadEstimate,
         now: Callable[[], float],
         data_centre: str,
     ):
-        """Takes what is known of engines and how to call them."""
+        """Takes what is known of engines and how to call them.
+
+        Args:
+            access: the engines.
+            heard: returns the newest word of the other instances.
+            tell: tells them what this one uses.
+            load: the usual request.
+            now: the clock.
+            data_centre: where this instance is.
+        """
         self._endpoints = access.endpoints
         self._stats = access.stats
         self._client = access.client
         self._codec = access.codec
         self._releases = access.releases
         self._heard = heard
+        self._tell = tell
         self._load = load
         self._now = now
         self._data_centre = data_centre
@@ -89,22 +100,29 @@
     async def reserve(
         self, ctx: context.ForwardContext, choice: Choice
     ) -> context.DecodePlace | None:
-        """Asks the best engines in turn; returns None if none had room."""
+        """Asks the best engines in turn; returns None if none had room.
+
+        The other instances are told before the engine is asked, so that they
+        don't choose it meanwhile.
+        """
         by_key = {each.key: each for each in choice.engines}
         for found in choice.ordered[:MAX_ASKS]:
             endpoint = by_key[found.key]
-            held = await self._hold(ctx, endpoint)
+            self._count(ctx, endpoint)
+            held = None
+            try:
+                held = await self._hold(ctx, endpoint)
+            finally:
+                if held is None or held.is_error():
+                    self._discount(endpoint.key, ctx.req.id)
             if held.is_ok():
                 self._note_placed(ctx, found, choice)
-                return self._take(ctx, endpoint, held.ok)
+                return context.DecodePlace(endpoint, held.ok, ctx.req.id)
         return None
 
     def release(self, place: context.DecodePlace, used: bool) -> None:
         """Gives a place back."""
-        use = self._uses[place.endpoint.key]
-        use.remove(place.request_id)
-        if not use:
-            del self._uses[place.endpoint.key]
+        self._discount(place.endpoint.key, place.request_id)
         self._full_until.pop(place.endpoint.key, None)
         if place.hold and not used:
             call = self._codec.release_hold(place.endpoint, place.hold)
@@ -156,19 +174,25 @@
                 total[use.key] = both
         return total
 
-    def _take(
-        self,
-        ctx: context.ForwardContext,
-        endpoint: forwarding.Endpoint,
-        hold: str,
-    ) -> context.DecodePlace:
+    def _count(
+        self, ctx: context.ForwardContext, endpoint: forwarding.Endpoint
+    ) -> None:
+        """Adds a stream to what this instance uses."""
         use = self._uses.setdefault(
             endpoint.key,
             kv_forecast.EngineForecast(self._load.output_tokens_s),
         )
         use.tokens_s = self._load.output_tokens_s
         use.add(ctx.req.id, ctx.size, ctx.now())
-        return context.DecodePlace(endpoint, hold, ctx.req.id)
+        self._tell()
+
+    def _discount(self, key: str, request_id: str) -> None:
+        """Takes a stream out of what this instance uses."""
+        use = self._uses[key]
+        use.remove(request_id)
+        if not use:
+            del self._uses[key]
+        self._tell()
 
     async def _hold(
         self,
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -247,6 +247,7 @@
         self.room = engine_room.EngineRoom(
             self._engines,
             self.peers.heard,
+            self.peers.tell,
             self.load,
             self._now,
             self.entry.data_centre,
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -283,3 +283,44 @@
         assert got.status == 400
 
     forward_world.play(scenario)
+
+
+def test_other_instances_are_told_before_the_engine_is_asked():
+    """Otherwise they choose the same engine while it is being asked."""
+
+    async def scenario(world):
+        prefill, decode = await world.engines()
+        slots_told = []
+
+        async def note_uses(endpoint, seen, writer):
+            if seen.target.startswith("/sycamoreseam/hold-take"):
+                beat = world.node._heartbeat()
+                slots_told.append([use.profile.slots for use in beat.uses])
+            await forward_endpoint.reply_engine(endpoint, seen, writer)
+
+        decode.reply = note_uses
+        caller = await world.connect()
+        assert (await caller.draft()).status == 200
+        caller.close()
+        assert slots_told == [[1]]
+        assert len(prefill.seen) == 1
+
+    forward_world.play(scenario)
+
+
+def test_an_engine_without_room_is_not_counted_as_used():
+    async def scenario(world):
+        _, decode = await world.engines()
+
+        async def full(endpoint, seen, writer):
+            writer.write(
+                forward_endpoint.answer(seen, b"", "503 Full", Not_Executed="1")
+            )
+
+        decode.reply = full
+        caller = await world.connect()
+        assert (await caller.draft()).status == 503
+        caller.close()
+        assert world.node.room.uses() == ()
+
+    forward_world.play(scenario)
