--- a/packages/seam_node/seam_node/forward/engine_room.py
+++ b/packages/seam_node/seam_node/forward/engine_room.py
@@ -16,6 +16,7 @@
 from seam_node.forward import workload
 from seam_policy import decode_choice
 from seam_policy import kv_forecast
+from seam_policy import rendezvous
 
 HOLD_TIMEOUT_S = 0.25
 FULL_S = 0.08
@@ -158,6 +159,7 @@
                 local=each.data_centre == self._data_centre,
                 full_until=self._full_until.get(each.key, 0.0),
                 failing=self._stats.call(each).failure_share(ctx.now()),
+                draw=rendezvous.draw(ctx.req.id.encode(), each.key),
             )
             for each in engines
         ]
--- a/packages/seam_policy/seam_policy/decode_choice.py
+++ b/packages/seam_policy/seam_policy/decode_choice.py
@@ -3,7 +3,9 @@
 Engines with the most free KV cache memory come first, as far as this instance
 knows: it forecasts the need of its own streams, adds what other instances
 last said of theirs, and leaves out engines that said they were full a moment
-ago. The engine itself decides. Answers the load patterns of a burst, in which
+ago. Engines that are about equally good are ordered anew for each request, as
+instances that decide at the same moment would else all choose the same one.
+The engine itself decides. Answers the load patterns of a burst, in which
 places are scarce everywhere, and of an engine that fails part of its streams
 while it seems healthy.
 """
@@ -18,6 +20,8 @@
 """Memory, as a share, that an engine that always fails must have more."""
 REMOTE_SHARE = 0.12
 """Part of an engine's memory that a shorter way is worth."""
+DRAW_SHARE = 0.1
+"""Difference in free memory, as a share, within which chance decides."""
 
 
 @attrs.frozen
@@ -34,6 +38,8 @@
     """Time until which it is taken to be full."""
     failing: float = 0.0
     """Share of its streams that failed lately."""
+    draw: float = 0.0
+    """A number from 0 to 1, drawn for the request and this engine."""
 
     def free_share(self) -> float:
         """Returns the scarcer of free memory and free slots, as a share."""
@@ -63,4 +69,6 @@
 
 def _score(candidate: DecodeCandidate) -> float:
     bonus = REMOTE_SHARE if candidate.local else 0.0
-    return candidate.free_share() + bonus - FAILING_WEIGHT * candidate.failing
+    chance = DRAW_SHARE * candidate.draw
+    failing = FAILING_WEIGHT * candidate.failing
+    return candidate.free_share() + bonus + chance - failing
--- a/tests/seam_policy/test_decode_choice.py
+++ b/tests/seam_policy/test_decode_choice.py
@@ -2,6 +2,7 @@
 
 from seam_policy import decode_choice
 from seam_policy import kv_forecast
+from seam_policy import rendezvous
 
 KV_TOKENS = 70_000
 
@@ -11,7 +12,9 @@
     return kv_forecast.Profile(slots, needs)
 
 
-def engine(key, tokens=0, slots=0, local=False, full_until=0.0, failing=0.0):
+def engine(
+    key, tokens=0, slots=0, local=False, full_until=0.0, failing=0.0, draw=0.0
+):
     return decode_choice.DecodeCandidate(
         key,
         24,
@@ -20,6 +23,7 @@
         local,
         full_until,
         failing,
+        draw,
     )
 
 
@@ -54,3 +58,21 @@
     grey = engine("grey", failing=0.4)
     assert keys([grey, engine("a", 40_000)]) == ["a", "grey"]
     assert keys([grey, engine("a", 65_000)]) == ["grey"]
+
+
+def test_requests_of_the_same_moment_are_spread_over_equal_engines():
+    """Many instances decide on the same word of each other."""
+    counts = dict.fromkeys("abcd", 0)
+    for number in range(400):
+        request = b"request-%d" % number
+        engines = [
+            engine(key, 30_000, draw=rendezvous.draw(request, key))
+            for key in counts
+        ]
+        counts[keys(engines)[0]] += 1
+    assert min(counts.values()) > 60
+
+
+def test_a_draw_does_not_outweigh_a_stream():
+    engines = [engine("a", 40_000, draw=1.0), engine("b", 32_000)]
+    assert keys(engines)[0] == "b"
