Tell callers that are back by what callers of their route have left

Cause: a request was taken for a late one if its deadline was shorter than the route's timeout less the latency target. Ruled out: early retries (there were no refusals yet), clocks (the deadline is a span).

The longest wait of each route's callers is learnt, so that a change of the timeout makes nobody late.

--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/context.py
@@ -108,15 +108,6 @@
         """Returns the seconds from arrival to a time; -1 if there is none."""
         return -1 if at is None else round(at - self.arrived_at, 4)
 
-    def is_late(self) -> bool:
-        """Tells whether its caller asked before and the target has passed.
-
-        The time that the caller has left says how long it has been asking.
-        """
-        if self.req.deadline_s is None:
-            return False
-        return self.req.deadline_s < self.route.timeout_s - self.route.target_s
-
     def remaining_s(self) -> float:
         """Returns the seconds left until the deadline."""
         return self.deadline_at - self.now()
--- a/packages/seam_node/seam_node/forward/decode_places.py
+++ b/packages/seam_node/seam_node/forward/decode_places.py
@@ -14,6 +14,7 @@
 from seam_policy import kv_forecast
 from seam_policy import output_length
 from seam_policy import return_time
+from seam_policy import returning_callers
 from seam_policy import waiting_line
 
 RETRY_S = 0.05
@@ -54,6 +55,7 @@
         self._load = load
         self._now = now
         self._lengths = output_length.OutputLengths()
+        self._returning = returning_callers.ReturningCallers()
         self._line = waiting_line.WaitingLine()
         self._announced = False
         self._returns = return_time.ReturnSchedule()
@@ -69,7 +71,9 @@
         Errors: `NoEndpoint`, `NoDecodePlace`.
         """
         ctx.size = self._size(ctx.req.prompt)
-        late = ctx.is_late()
+        late = self._returning.is_back(
+            ctx.route.name, ctx.req.deadline_s, ctx.route.timeout_s
+        )
         ticket = self._line.join(ctx.route.rank, late, ctx.now())
         try:
             return await self._wait(ctx, ticket)
@@ -96,6 +100,10 @@
         most_s = ctx.remaining_s() * RETURN_SHARE
         return self._returns.assign(ctx.now(), step_s, most_s)
 
+    def keep_routes(self, names: set[str]) -> None:
+        """Forgets what was learnt of other routes."""
+        self._returning.keep(names)
+
     def release(self, place: context.DecodePlace, used: bool) -> None:
         """Gives a place back."""
         self._room.release(place, used)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -119,7 +119,7 @@
         self.front = front.Front(
             self._handler.handle, self._now, _CALLER_LIMITS
         )
-        self.routes.on_change = lambda table: self.front.configure(table.limits)
+        self.routes.on_change = self._on_routes
         self._show_gauges()
         self._sweeper: asyncio.Task | None = None
         self._announcer: asyncio.Task | None = None
@@ -399,6 +399,10 @@
             for beat in self.peers.live()
         )
 
+    def _on_routes(self, table: forwarding.RouteTable) -> None:
+        self.front.configure(table.limits)
+        self.places.keep_routes({route.name for route in table.routes})
+
     def _on_gone(self, endpoint: forwarding.Endpoint) -> None:
         self.stats.forget(endpoint)
         self._conns.drop(endpoint.address)
