Share the outcomes of streams; give nothing to engines that fail nearly all

Heartbeats name the streams that ended within the last second, a failure is told at once, and an engine that fails over six in ten gets none while a sound one could. What numbers and repeats such events is one module now, also used for prompts at prefill engines.

--- a/packages/seam_node/seam_node/forward/call_stats.py
+++ b/packages/seam_node/seam_node/forward/call_stats.py
@@ -40,6 +40,10 @@
             self._calls[endpoint.key] = record
         return record
 
+    def known_call(self, key: str) -> call_choice.EndpointRecord | None:
+        """Returns the record of an incarnation's calls, if there is one."""
+        return self._calls.get(key)
+
     def prefill(
         self, endpoint: forwarding.Endpoint
     ) -> prefill_choice.PrefillRecord:
@@ -51,7 +55,7 @@
         return record
 
     def known_prefill(self, key: str) -> prefill_choice.PrefillRecord | None:
-        """Returns the record of an incarnation, if there is one."""
+        """Returns the record of an incarnation's prefills, if there is one."""
         return self._prefills.get(key)
 
     def kv(self, endpoint: forwarding.Endpoint) -> kv_trust.KvTrust:
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -4,10 +4,10 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import call_stats
 from seam_node.forward import context
 from seam_node.forward import relay
 from seam_node.forward import sends
+from seam_node.forward import stream_outcomes
 from seam_node.forward.filters import base
 from seam_node.ports import wire
 
@@ -24,11 +24,11 @@
         self,
         sender: sends.Sender,
         codec: wire.Wire,
-        stats: call_stats.CallStats,
+        outcomes: stream_outcomes.StreamOutcomes,
     ):
-        """Takes what sends the request, reads event ids and keeps failures."""
+        """Takes what sends the request, reads event ids and keeps outcomes."""
         self._sender = sender
-        self._stats = stats
+        self._outcomes = outcomes
         self._codec = codec
 
     async def apply(
@@ -46,7 +46,6 @@
         )
         ctx.hold_used = True
         started_at = ctx.now()
-        record = self._stats.call(ctx.place.endpoint)
         try:
             sent = await self._sender.send(
                 ctx, ctx.place.endpoint, options, relayed
@@ -54,10 +53,9 @@
         except asyncio.CancelledError:
             silent_s = ctx.now() - started_at
             if ctx.first_byte_at is None and silent_s >= SILENT_S:
-                record.note(0.0, True, ctx.now())
+                self._outcomes.note(ctx.place.endpoint, True)
             raise
-        failed = _failed(sent)
-        record.note(0.0, failed, ctx.now())
+        self._outcomes.note(ctx.place.endpoint, _failed(sent))
         if sent.is_error():
             ctx.refused_by.add(ctx.place.endpoint.key)
             return base.fail(sent.error)
--- a/packages/seam_node/seam_node/forward/heartbeats.py
+++ b/packages/seam_node/seam_node/forward/heartbeats.py
@@ -43,6 +43,18 @@
     age_s: float
 
 
+@attrs.frozen
+class StreamEnded:
+    """How a stream of an instance ended a moment ago."""
+
+    number: int
+    """Counts the instance's streams, so that none is taken twice."""
+    key: str
+    """Incarnation of the decode engine."""
+    failed: bool
+    """Whether the engine is to blame."""
+
+
 @attrs.frozen
 class Heartbeat:
     """What an instance says of itself."""
@@ -56,6 +68,7 @@
     waiting: waiting_line.Waiting | None = None
     """The first request that waits for a decode place."""
     prefills: tuple[PrefillSent, ...] = ()
+    ended: tuple[StreamEnded, ...] = ()
 
 
 def _pack_use(use: EngineUse) -> list:
@@ -98,6 +111,15 @@
     return PrefillSent(int(number), str(key), int(tokens), float(age_s))
 
 
+def _pack_ended(ended: StreamEnded) -> list:
+    return [ended.number, ended.key, ended.failed]
+
+
+def _unpack_ended(fields: list) -> StreamEnded:
+    number, key, failed = fields
+    return StreamEnded(int(number), str(key), bool(failed))
+
+
 def encode(beat: Heartbeat) -> bytes:
     """Returns a datagram."""
     entry = beat.entry
@@ -117,6 +139,7 @@
             [(each.key, round(each.left_s, 3)) for each in beat.avoided],
             _pack_waiting(beat.waiting),
             [_pack_prefill(sent) for sent in beat.prefills],
+            [_pack_ended(ended) for ended in beat.ended],
         )
     )
 
@@ -141,11 +164,19 @@
         parsed = tuple(_unpack_use(use) for use in uses)
         avoided = tuple(Avoided(str(key), float(s)) for key, s in shut)
         waiting = _unpack_waiting(first)
-        # Instances of an earlier version do not say what they sent.
-        sent = fields[13] if len(fields) > 13 else ()
+        # Instances of an earlier version leave out what they did lately.
+        sent, done = (*fields[13:15], (), ())[:2]
         prefills = tuple(_unpack_prefill(each) for each in sent)
+        ended = tuple(_unpack_ended(each) for each in done)
     except (ValueError, TypeError, IndexError, msgpack.UnpackException):
         return None
     return Heartbeat(
-        entry, bool(serving), int(version), parsed, avoided, waiting, prefills
+        entry,
+        bool(serving),
+        int(version),
+        parsed,
+        avoided,
+        waiting,
+        prefills,
+        ended,
     )
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -33,6 +33,7 @@
 from seam_node.forward import sends
 from seam_node.forward import stages
 from seam_node.forward import store_link
+from seam_node.forward import stream_outcomes
 from seam_node.forward import workload
 from seam_node.forward.filters import attempt
 from seam_node.forward.filters import call
@@ -258,6 +259,9 @@
         self.queues = prefill_queues.PrefillQueues(
             self.stats, self.peers.tell, self._now
         )
+        self.outcomes = stream_outcomes.StreamOutcomes(
+            self.stats, self.peers.tell, self._now
+        )
         self.endpoints.on_gone = self._on_gone
         self.endpoints.on_stage = lambda each: self.stats.stop_avoiding(
             each.key
@@ -326,7 +330,9 @@
                     distance_s,
                     self.peers.tell,
                 ),
-                decode.DecodeFilter(self.sender, self.ports.wire, self.stats),
+                decode.DecodeFilter(
+                    self.sender, self.ports.wire, self.outcomes
+                ),
             ]
         )
         plain = chain.Chain(
@@ -376,6 +382,7 @@
             self._avoided(),
             self.places.waiting(),
             self.queues.recent(),
+            self.outcomes.recent(),
         )
 
     def _avoided(self) -> tuple[heartbeats.Avoided, ...]:
@@ -389,6 +396,7 @@
         for each in beat.avoided:
             self.stats.avoid(each.key, self._now() + each.left_s)
         self.queues.take(beat)
+        self.outcomes.take(beat)
 
     def _order_turn(self) -> int:
         """Returns how many serving instances come before this one."""
--- a/packages/seam_node/seam_node/forward/prefill_queues.py
+++ b/packages/seam_node/seam_node/forward/prefill_queues.py
@@ -1,6 +1,5 @@
 """Which prompts wait at prefill engines, whichever instance sent them."""
 
-import collections
 from collections.abc import Callable
 
 import attrs
@@ -8,27 +7,15 @@
 from seam_model import forwarding
 from seam_node.forward import call_stats
 from seam_node.forward import heartbeats
-
-RECENT_S = 1.0
-"""How long other instances are told of a prompt."""
+from seam_node.forward import recent_events
 
 
 @attrs.frozen
-class _Own:
+class _Prompt:
     """A prompt that this instance sent."""
 
-    number: int
     key: str
     tokens: int
-    sent_at: float
-
-
-@attrs.frozen
-class _Newest:
-    """The newest prompt that an instance told of."""
-
-    incarnation: int
-    number: int
 
 
 class PrefillQueues:
@@ -44,9 +31,8 @@
         self._stats = stats
         self._tell = tell
         self._now = now
-        self._count = 0
-        self._recent: collections.deque[_Own] = collections.deque()
-        self._newest: dict[str, _Newest] = {}
+        self._own: recent_events.OwnEvents[_Prompt] = recent_events.OwnEvents()
+        self._heard = recent_events.HeardEvents()
 
     def send(self, engine: forwarding.Endpoint, tokens: int) -> float:
         """Books a prompt that is sent now; returns how long it should wait."""
@@ -54,35 +40,23 @@
         record = self._stats.prefill(engine)
         queued_s = record.queued_s(now)
         record.book(tokens, now)
-        self._count += 1
-        self._recent.append(_Own(self._count, engine.key, tokens, now))
+        self._own.add(_Prompt(engine.key, tokens), now)
         self._tell()
         return queued_s
 
     def recent(self) -> tuple[heartbeats.PrefillSent, ...]:
         """Returns the prompts that other instances are told of."""
         now = self._now()
-        while self._recent and now - self._recent[0].sent_at > RECENT_S:
-            self._recent.popleft()
         return tuple(
             heartbeats.PrefillSent(
-                each.number, each.key, each.tokens, now - each.sent_at
+                each.number, each.what.key, each.what.tokens, now - each.at
             )
-            for each in self._recent
+            for each in self._own.recent(now)
         )
 
     def take(self, beat: heartbeats.Heartbeat) -> None:
         """Books the prompts of another instance that are new."""
-        incarnation = beat.entry.incarnation
-        newest = self._newest.get(beat.entry.name)
-        known = 0
-        if newest is not None and newest.incarnation == incarnation:
-            known = newest.number
-        for sent in beat.prefills:
-            if sent.number <= known:
-                continue
-            known = sent.number
+        for sent in self._heard.new(beat.entry, beat.prefills):
             record = self._stats.known_prefill(sent.key)
             if record is not None:
                 record.book(sent.tokens, self._now() - sent.age_s)
-        self._newest[beat.entry.name] = _Newest(incarnation, known)
--- a/packages/seam_policy/seam_policy/decode_choice.py
+++ b/packages/seam_policy/seam_policy/decode_choice.py
@@ -20,6 +20,9 @@
 """Memory, as a share, that an engine that always fails must have more."""
 REMOTE_SHARE = 0.12
 """Part of an engine's memory that a shorter way is worth."""
+MOST_FAILING = 0.6
+"""Share of failed streams above which an engine gets none while another could.
+A stream that fails there is lost, one that waits is not."""
 DRAW_SHARE = 0.1
 """Difference in free memory, as a share, within which chance decides."""
 
@@ -59,9 +62,10 @@
     now: float,
 ) -> list[DecodeCandidate]:
     """Returns the engines that should have room, best first."""
+    sound = [each for each in candidates if each.failing < MOST_FAILING]
     fitting = [
         each
-        for each in candidates
+        for each in sound or candidates
         if each.full_until <= now and each.fits(added)
     ]
     return sorted(fitting, key=_score, reverse=True)
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/test_peers.py
@@ -40,6 +40,7 @@
         (heartbeats.Avoided("e/2", 1.5),),
         waiting_line.Waiting(0, True, 0.25),
         (heartbeats.PrefillSent(9, "p/1", 5000, 0.125),),
+        (heartbeats.StreamEnded(4, "e/1", True),),
     )
 
 
@@ -50,7 +51,7 @@
 def test_a_heartbeat_of_an_earlier_version_is_read():
     fields = msgpack.unpackb(heartbeats.encode(beat()))
     found = heartbeats.decode(msgpack.packb(fields[:13]))
-    assert found == attrs.evolve(beat(), prefills=())
+    assert found == attrs.evolve(beat(), prefills=(), ended=())
 
 
 @pytest.mark.parametrize(
--- a/tests/seam_node/forward/test_prefill_queues.py
+++ b/tests/seam_node/forward/test_prefill_queues.py
@@ -4,6 +4,7 @@
 from seam_node.forward import call_stats
 from seam_node.forward import heartbeats
 from seam_node.forward import prefill_queues
+from seam_node.forward import recent_events
 from seam_policy import prefill_choice
 
 PROMPT = 5000
@@ -123,7 +124,7 @@
     clock = Clock()
     one = Instance("one", [engine("p-0")], clock)
     one.prefill()
-    clock.now += prefill_queues.RECENT_S + 0.1
+    clock.now += recent_events.RECENT_S + 0.1
     assert one.queues.recent() == ()
 
 
--- a/tests/seam_policy/test_decode_choice.py
+++ b/tests/seam_policy/test_decode_choice.py
@@ -76,3 +76,10 @@
 def test_a_draw_does_not_outweigh_a_stream():
     engines = [engine("a", 40_000, draw=1.0), engine("b", 32_000)]
     assert keys(engines)[0] == "b"
+
+
+def test_an_engine_that_fails_nearly_all_gets_nothing_while_others_are_full():
+    """It says that it is healthy and always has room, as it fails at once."""
+    liar = engine("liar", failing=0.8)
+    assert keys([liar, engine("full", 65_000)]) == []
+    assert keys([liar]) == ["liar"]
