Count streams by a name of our own, not by the caller's request id

Cause, found by reading: places were kept under the request's id. Of two requests with the same id at one engine the second to end raised a KeyError, which closed its caller's connection and was logged as a bug of ours.

--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/context.py
@@ -52,7 +52,8 @@
     endpoint: forwarding.Endpoint
     hold: str
     """Reservation at the engine; empty if it offers none."""
-    request_id: str
+    stream: str
+    """Names the stream among this instance's at the engine."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/forward/engine_room.py
+++ b/packages/seam_node/seam_node/forward/engine_room.py
@@ -76,6 +76,8 @@
         self._now = now
         self._data_centre = data_centre
         self._log = access.log
+        self._streams = 0
+        """Streams that were ever counted."""
         self._uses: dict[str, kv_forecast.EngineForecast] = {}
         self._full_until: dict[str, float] = {}
 
@@ -109,21 +111,21 @@
         by_key = {each.key: each for each in choice.engines}
         for found in choice.ordered[:MAX_ASKS]:
             endpoint = by_key[found.key]
-            self._count(ctx, endpoint)
+            stream = self._count(ctx, endpoint)
             held = None
             try:
                 held = await self._hold(ctx, endpoint)
             finally:
                 if held is None or held.is_error():
-                    self._discount(endpoint.key, ctx.req.id)
+                    self._discount(endpoint.key, stream)
             if held.is_ok():
                 self._note_placed(ctx, found, choice)
-                return context.DecodePlace(endpoint, held.ok, ctx.req.id)
+                return context.DecodePlace(endpoint, held.ok, stream)
         return None
 
     def release(self, place: context.DecodePlace, used: bool) -> None:
         """Gives a place back."""
-        self._discount(place.endpoint.key, place.request_id)
+        self._discount(place.endpoint.key, place.stream)
         self._full_until.pop(place.endpoint.key, None)
         if place.hold and not used:
             call = self._codec.release_hold(place.endpoint, place.hold)
@@ -178,20 +180,26 @@
 
     def _count(
         self, ctx: context.ForwardContext, endpoint: forwarding.Endpoint
-    ) -> None:
-        """Adds a stream to what this instance uses."""
+    ) -> str:
+        """Adds a stream to what this instance uses; returns its name.
+
+        The request's id won't do, as a caller may use one twice.
+        """
+        self._streams += 1
+        stream = str(self._streams)
         use = self._uses.setdefault(
             endpoint.key,
             kv_forecast.EngineForecast(self._load.output_tokens_s),
         )
         use.tokens_s = self._load.output_tokens_s
-        use.add(ctx.req.id, ctx.size, ctx.now())
+        use.add(stream, ctx.size, ctx.now())
         self._tell()
+        return stream
 
-    def _discount(self, key: str, request_id: str) -> None:
+    def _discount(self, key: str, stream: str) -> None:
         """Takes a stream out of what this instance uses."""
         use = self._uses[key]
-        use.remove(request_id)
+        use.remove(stream)
         if not use:
             del self._uses[key]
         self._tell()
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -324,3 +324,36 @@
         assert world.node.room.uses() == ()
 
     forward_world.play(scenario)
+
+
+def test_two_requests_with_the_same_id_are_both_answered():
+    """A caller's fault must not upset the account of places."""
+
+    async def scenario(world):
+        _, decode = await world.engines()
+        both = asyncio.Event()
+        streaming = []
+
+        async def stream_together(endpoint, seen, writer):
+            if not seen.target.startswith("/sycamoreseam/"):
+                streaming.append(seen)
+                if len(streaming) == 2:
+                    both.set()
+                await both.wait()
+            await forward_endpoint.reply_engine(endpoint, seen, writer)
+
+        decode.reply = stream_together
+        callers = [await world.connect() for _ in range(2)]
+        answers = await asyncio.gather(
+            *(caller.draft(request_id="same") for caller in callers)
+        )
+        assert [(got.status, got.complete) for got in answers] == [
+            (200, True),
+            (200, True),
+        ]
+        await world.until(lambda: world.node.room.uses() == ())
+        assert world.logged("request_failed") == []
+        for caller in callers:
+            caller.close()
+
+    forward_world.play(scenario)
