Split the heartbeat codec, the announcer and the gauges from large modules

forward/node.py held the writing of its entry and the list of gauges, and heartbeats.py types and codec; each is a module with one job now, and the codec's tests mirror it. Behaviour stays, but for an entry that is still being written when the instance leaves: that is given up now, as it is to be deleted.

--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -14,6 +14,7 @@
 from seam_node import metrics
 from seam_node import task
 from seam_node.controllers import lease
+from seam_node.forward import announcer
 from seam_node.forward import background
 from seam_node.forward import call_stats
 from seam_node.forward import catalog_watch
@@ -24,6 +25,7 @@
 from seam_node.forward import entry
 from seam_node.forward import exchange
 from seam_node.forward import fleet
+from seam_node.forward import forward_gauges
 from seam_node.forward import freeze
 from seam_node.forward import front
 from seam_node.forward import handler
@@ -123,7 +125,6 @@
         self.routes.on_change = self._on_routes
         self._show_gauges()
         self._sweeper: asyncio.Task | None = None
-        self._announcer: asyncio.Task | None = None
 
     # Life
 
@@ -134,13 +135,13 @@
             await each.start()
         self.front.start(callers)
         self._sweeper = asyncio.ensure_future(self._sweep())
-        self._on_unlisted()
+        self._announcer.announce()
         self.log.event("instance_started", data_centre=self.entry.data_centre)
 
     async def close(self) -> None:
         """Closes controllers and connections."""
-        for each in (self._sweeper, self._announcer):
-            each.cancel()
+        self._sweeper.cancel()
+        self._announcer.close()
         await self.front.close()
         for each in reversed(self._controllers()):
             await each.close()
@@ -154,6 +155,7 @@
         started_at = self._now()
         grace_s = self.settings.leaving.grace_s
         self._leaving = True
+        self._announcer.close()
         ends_at = started_at + grace_s - LEAVE_MARGIN_S
         self._ends_at = ends_at
         self.log.event("instance_leaving", running=len(self.front.running))
@@ -198,12 +200,13 @@
         self._endpoints_watch = self._watch(
             catalog.Kind.ENDPOINTS, self.endpoints
         )
+        self._announcer = announcer.Announcer(self.entry, self.ports.catalog)
         self.peers = peers.PeerBeats(
             self.entry,
             self.ports.catalog,
             self._heartbeat,
             self._on_beat,
-            self._on_unlisted,
+            self._announcer.announce,
             self._now,
             self.log,
         )
@@ -290,31 +293,15 @@
         self.stages.use(self._stage_lease)
 
     def _show_gauges(self) -> None:
-        gauge = self.metrics.gauge
-        gauge(
-            "seam_routes_version",
-            "Version of the configuration in force; 0 if none.",
-            lambda: self.routes.table.version if self.routes.table else 0,
-        )
-        gauge(
-            "seam_store_age_seconds",
-            "Time since the store last told of endpoints.",
-            self._endpoints_watch.age_s,
-        )
-        gauge(
-            "seam_live_peers",
-            "Other instances that were heard lately.",
-            lambda: len(self.peers.live()),
-        )
-        gauge(
-            "seam_decode_waiting",
-            "Requests that wait for a decode place.",
-            lambda: len(self.places),
-        )
-        gauge(
-            "seam_endpoint_connections_opened",
-            "Connections to endpoints opened since the start.",
-            lambda: self._conns.opened,
+        forward_gauges.show(
+            self.metrics,
+            forward_gauges.Sources(
+                self._routes_version,
+                self._endpoints_watch.age_s,
+                lambda: len(self.peers.live()),
+                lambda: len(self.places),
+                lambda: self._conns.opened,
+            ),
         )
 
     def _make_chain(self) -> chain.Chain:
@@ -372,12 +359,16 @@
     def _routes_proved(self) -> bool:
         return self._routes_watch.age_s() <= ROUTES_PROVED_S
 
-    def _heartbeat(self) -> heartbeats.Heartbeat:
+    def _routes_version(self) -> int:
+        """Returns the version in force; 0 if there is none."""
         table = self.routes.table
+        return table.version if table else 0
+
+    def _heartbeat(self) -> heartbeats.Heartbeat:
         return heartbeats.Heartbeat(
             self.entry,
             self.not_ready() is None,
-            table.version if table else 0,
+            self._routes_version(),
             self.room.uses(),
             self._avoided(),
             self.places.waiting(),
@@ -420,23 +411,6 @@
         for each in (self._routes_watch, self._endpoints_watch):
             task.run_in_background(each.restart())
 
-    def _on_unlisted(self) -> None:
-        """Announces this instance unless that is under way."""
-        if self._leaving:
-            return
-        if self._announcer is None or self._announcer.done():
-            self._announcer = asyncio.ensure_future(self._announce())
-
-    async def _announce(self) -> None:
-        """Writes this instance's entry once, as soon as the store takes it."""
-        backoff_s = catalog_watch.BACKOFF_FIRST_S
-        while True:
-            done = await self.ports.catalog.announce(self.entry)
-            if done.is_ok():
-                return
-            await asyncio.sleep(backoff_s)
-            backoff_s = min(catalog_watch.BACKOFF_MOST_S, backoff_s * 2)
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/packages/seam_node/seam_node/forward/peers.py
+++ b/packages/seam_node/seam_node/forward/peers.py
@@ -12,6 +12,7 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward import fleet
+from seam_node.forward import heartbeat_codec
 from seam_node.forward import heartbeats
 from seam_node.ports import catalog
 
@@ -126,14 +127,14 @@
         self._due = None
         if self._transport is None or self._transport.is_closing():
             return
-        data = heartbeats.encode(self._describe())
+        data = heartbeat_codec.encode(self._describe())
         for address in self._addresses():
             self._transport.sendto(data, (address.host, address.port))
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Takes a heartbeat."""
         del addr
-        beat = heartbeats.decode(data)
+        beat = heartbeat_codec.decode(data)
         if beat is None or beat.entry.name == self._entry.name:
             return
         name = beat.entry.name
--- /dev/null
+++ b/tests/seam_node/forward/test_heartbeat_codec.py
@@ -0,0 +1,55 @@
+"""Spelling of heartbeats."""
+
+import attrs
+import msgpack
+import pytest
+
+from seam_node.forward import heartbeat_codec
+from standins import forward_beats
+
+
+def test_a_heartbeat_is_read_as_it_was_sent():
+    assert (
+        heartbeat_codec.decode(heartbeat_codec.encode(forward_beats.beat()))
+        == forward_beats.beat()
+    )
+
+
+def test_a_heartbeat_of_an_earlier_version_is_read():
+    fields = msgpack.unpackb(heartbeat_codec.encode(forward_beats.beat()))
+    found = heartbeat_codec.decode(msgpack.packb(fields[:13]))
+    assert found == attrs.evolve(forward_beats.beat(), prefills=(), ended=())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        msgpack.packb("text"),
+        msgpack.packb([1, "two"]),
+        msgpack.packb([99] * 13),
+        msgpack.packb([1, "n", "x", "h", 1, "h", 1, "d", True, 1, [], [], []]),
+        msgpack.packb(
+            [
+                1,
+                "n",
+                1,
+                "h",
+                1,
+                "h",
+                1,
+                "d",
+                True,
+                1,
+                [["e", 1, 5]],
+                [],
+                [],
+                None,
+            ]
+        ),
+        b"x" * (heartbeat_codec.MAX_DATAGRAM_BYTES + 1),
+    ],
+)
+def test_anything_else_is_no_heartbeat(data):
+    assert heartbeat_codec.decode(data) is None
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/test_peers.py
@@ -2,92 +2,17 @@
 
 import asyncio
 
-import attrs
 import expression
-import msgpack
 import pytest
 
-from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import heartbeats
+from seam_node.forward import heartbeat_codec
 from seam_node.forward import peers
 from seam_node.ports import catalog
-from seam_policy import kv_forecast
-from seam_policy import waiting_line
+from standins import forward_beats
 from standins import virtual_loop
 
 
-def entry(name, incarnation=1):
-    return forwarding.InstanceEntry(
-        name,
-        incarnation,
-        forwarding.Address("10.0.0.1", 80),
-        forwarding.Address("10.0.0.1", 7660),
-        "here",
-    )
-
-
-def beat(name="two", serving=True, incarnation=1):
-    needs = tuple(
-        kv_forecast.Need(float(number), 2.0)
-        for number in range(len(kv_forecast.MOMENTS_S))
-    )
-    return heartbeats.Heartbeat(
-        entry(name, incarnation),
-        serving,
-        7,
-        (heartbeats.EngineUse("e/1", kv_forecast.Profile(3, needs)),),
-        (heartbeats.Avoided("e/2", 1.5),),
-        waiting_line.Waiting(0, True, 0.25),
-        (heartbeats.PrefillSent(9, "p/1", 5000, 0.125),),
-        (heartbeats.StreamEnded(4, "e/1", True),),
-    )
-
-
-def test_a_heartbeat_is_read_as_it_was_sent():
-    assert heartbeats.decode(heartbeats.encode(beat())) == beat()
-
-
-def test_a_heartbeat_of_an_earlier_version_is_read():
-    fields = msgpack.unpackb(heartbeats.encode(beat()))
-    found = heartbeats.decode(msgpack.packb(fields[:13]))
-    assert found == attrs.evolve(beat(), prefills=(), ended=())
-
-
-@pytest.mark.parametrize(
-    "data",
-    [
-        b"",
-        b"\xc1",
-        msgpack.packb("text"),
-        msgpack.packb([1, "two"]),
-        msgpack.packb([99] * 13),
-        msgpack.packb([1, "n", "x", "h", 1, "h", 1, "d", True, 1, [], [], []]),
-        msgpack.packb(
-            [
-                1,
-                "n",
-                1,
-                "h",
-                1,
-                "h",
-                1,
-                "d",
-                True,
-                1,
-                [["e", 1, 5]],
-                [],
-                [],
-                None,
-            ]
-        ),
-        b"x" * (heartbeats.MAX_DATAGRAM_BYTES + 1),
-    ],
-)
-def test_anything_else_is_no_heartbeat(data):
-    assert heartbeats.decode(data) is None
-
-
 class FakeCatalog:
     """Lists the entries of instances and takes deletions."""
 
@@ -96,7 +21,8 @@
 
     async def list(self, kind, timeout_s, stale):
         entries = tuple(
-            catalog.Entry(name, 1, entry(name)) for name in sorted(self.names)
+            catalog.Entry(name, 1, forward_beats.entry(name))
+            for name in sorted(self.names)
         )
         return expression.Ok(catalog.Listing(entries, 1))
 
@@ -112,9 +38,9 @@
         told, unlisted = [], []
         source = FakeCatalog()
         own = peers.PeerBeats(
-            entry("one"),
+            forward_beats.entry("one"),
             source,
-            lambda: beat("one"),
+            lambda: forward_beats.beat("one"),
             told.append,
             lambda: unlisted.append(loop.time()),
             loop.time,
@@ -129,7 +55,9 @@
 
 def test_a_silent_instance_is_not_named_any_more():
     async def scenario(own, told):
-        own.datagram_received(heartbeats.encode(beat("two")), None)
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("two")), None
+        )
         assert [each.entry.name for each in own.live()] == ["two"]
         await asyncio.sleep(peers.SUSPECT_BEATS * own.beat_s() + 0.1)
         assert own.live() == []
@@ -139,8 +67,12 @@
 
 def test_a_heartbeat_of_an_earlier_life_changes_nothing():
     async def scenario(own, told):
-        own.datagram_received(heartbeats.encode(beat("two", True, 5)), None)
-        own.datagram_received(heartbeats.encode(beat("two", False, 4)), None)
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("two", True, 5)), None
+        )
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("two", False, 4)), None
+        )
         assert [each.serving for each in own.live()] == [True]
         assert len(told) == 1
 
@@ -149,7 +81,9 @@
 
 def test_its_own_heartbeat_is_not_taken():
     async def scenario(own, told):
-        own.datagram_received(heartbeats.encode(beat("one")), None)
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("one")), None
+        )
         assert own.live() == []
 
     play(scenario)
@@ -157,7 +91,9 @@
 
 def test_ages_of_heartbeats():
     async def scenario(own, told):
-        own.datagram_received(heartbeats.encode(beat("two")), None)
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("two")), None
+        )
         await asyncio.sleep(0.3)
         assert own.heard()[0].age_s == pytest.approx(0.3)
 
@@ -180,7 +116,9 @@
     async def scenario(own, told):
         refreshing = asyncio.ensure_future(own._refresh())
         for _ in range(100):
-            own.datagram_received(heartbeats.encode(beat("two")), None)
+            own.datagram_received(
+                heartbeat_codec.encode(forward_beats.beat("two")), None
+            )
             await asyncio.sleep(1.0)
         assert own.source.names == {"one", "two"}
         refreshing.cancel()
@@ -203,7 +141,9 @@
     async def scenario(own, told):
         rates = {}
         for count in range(1, 101):
-            own.datagram_received(heartbeats.encode(beat(f"i{count}")), None)
+            own.datagram_received(
+                heartbeat_codec.encode(forward_beats.beat(f"i{count}")), None
+            )
             rates[count] = count / own.beat_s()
         assert rates[100] <= rates[peers.FULL_RATE_PEERS] * 1.01
 
@@ -214,11 +154,14 @@
     """It was restarted after the time of day had jumped."""
 
     async def scenario(own, told):
-        own.datagram_received(heartbeats.encode(beat("two", True, 5000)), None)
+        own.datagram_received(
+            heartbeat_codec.encode(forward_beats.beat("two", True, 5000)), None
+        )
         for _ in range(4):
             await asyncio.sleep(peers.HEARTBEAT_S)
             own.datagram_received(
-                heartbeats.encode(beat("two", True, 4000)), None
+                heartbeat_codec.encode(forward_beats.beat("two", True, 4000)),
+                None,
             )
         assert [each.entry.incarnation for each in own.live()] == [4000]
 
--- /dev/null
+++ b/tests/standins/forward_beats.py
@@ -0,0 +1,35 @@
+"""Heartbeats of other instances."""
+
+from seam_model import forwarding
+from seam_node.forward import heartbeats
+from seam_policy import kv_forecast
+from seam_policy import waiting_line
+
+
+def entry(name, incarnation=1):
+    """Returns how an instance announces itself."""
+    return forwarding.InstanceEntry(
+        name,
+        incarnation,
+        forwarding.Address("10.0.0.1", 80),
+        forwarding.Address("10.0.0.1", 7660),
+        "here",
+    )
+
+
+def beat(name="two", serving=True, incarnation=1):
+    """Returns a heartbeat with a word of every kind."""
+    needs = tuple(
+        kv_forecast.Need(float(number), 2.0)
+        for number in range(len(kv_forecast.MOMENTS_S))
+    )
+    return heartbeats.Heartbeat(
+        entry(name, incarnation),
+        serving,
+        7,
+        (heartbeats.EngineUse("e/1", kv_forecast.Profile(3, needs)),),
+        (heartbeats.Avoided("e/2", 1.5),),
+        waiting_line.Waiting(0, True, 0.25),
+        (heartbeats.PrefillSent(9, "p/1", 5000, 0.125),),
+        (heartbeats.StreamEnded(4, "e/1", True),),
+    )
