Log engines that begin to fail, and callers that are back

The shared outcomes change what an instance believes of an engine, which no line told; a placement names the share of failures that it knew, and the end of a request whether its caller had been sent away before.

--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/context.py
@@ -84,6 +84,8 @@
     """Whether the request may have run."""
     refused_by: set[str] = attrs.field(factory=set)
     """Keys of endpoints that failed or refused it."""
+    returned: bool = False
+    """Whether its caller asked before and was sent away."""
     size: kv_forecast.StreamSize | None = None
     place: DecodePlace | None = None
     hold_used: bool = False
--- a/packages/seam_node/seam_node/forward/decode_places.py
+++ b/packages/seam_node/seam_node/forward/decode_places.py
@@ -71,10 +71,10 @@
         Errors: `NoEndpoint`, `NoDecodePlace`.
         """
         ctx.size = self._size(ctx.req.prompt)
-        late = self._returning.is_back(
+        ctx.returned = self._returning.is_back(
             ctx.route.name, ctx.req.deadline_s, ctx.route.timeout_s
         )
-        ticket = self._line.join(ctx.route.rank, late, ctx.now())
+        ticket = self._line.join(ctx.route.rank, ctx.returned, ctx.now())
         try:
             return await self._wait(ctx, ticket)
         finally:
--- a/packages/seam_node/seam_node/forward/engine_room.py
+++ b/packages/seam_node/seam_node/forward/engine_room.py
@@ -252,6 +252,7 @@
             peak_tokens=round((found.used + choice.added).peak()),
             kv_tokens=found.kv_tokens,
             fitting=len(choice.ordered),
+            failing=round(found.failing, 2),
             waited_s=round(ctx.age_s(), 4),
             left_s=round(ctx.remaining_s(), 3),
             peers=len(heard),
--- a/packages/seam_node/seam_node/forward/handler.py
+++ b/packages/seam_node/seam_node/forward/handler.py
@@ -103,6 +103,7 @@
             outcome=outcome,
             detail="" if error is None else error.describe(),
             took_s=round(took_s, 4),
+            returned=ctx.returned,
             placed_s=ctx.since_arrival_s(ctx.placed_at),
             prefilled_s=ctx.since_arrival_s(ctx.prefilled_at),
             first_byte_s=ctx.since_arrival_s(ctx.first_byte_at),
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -263,7 +263,7 @@
             self.stats, self.peers.tell, self._now
         )
         self.outcomes = stream_outcomes.StreamOutcomes(
-            self.stats, self.peers.tell, self._now
+            self.stats, self.peers.tell, self._now, self.log
         )
         self.endpoints.on_gone = self._on_gone
         self.endpoints.on_stage = lambda each: self.stats.stop_avoiding(
--- a/packages/seam_node/seam_node/forward/stream_outcomes.py
+++ b/packages/seam_node/seam_node/forward/stream_outcomes.py
@@ -5,9 +5,12 @@
 import attrs
 
 from seam_model import forwarding
+from seam_node import logs
 from seam_node.forward import call_stats
 from seam_node.forward import heartbeats
 from seam_node.forward import recent_events
+from seam_policy import call_choice
+from seam_policy import decode_choice
 
 
 @attrs.frozen
@@ -30,18 +33,20 @@
         stats: call_stats.CallStats,
         tell: Callable[[], None],
         now: Callable[[], float],
+        log: logs.Log,
     ):
-        """Takes the records, what tells the other instances and the clock."""
+        """Takes the records, what tells the other instances, clock and log."""
         self._stats = stats
         self._tell = tell
         self._now = now
+        self._log = log
         self._own: recent_events.OwnEvents[_Outcome] = recent_events.OwnEvents()
         self._heard = recent_events.HeardEvents()
 
     def note(self, engine: forwarding.Endpoint, failed: bool) -> None:
         """Takes how a stream of this instance ended."""
         now = self._now()
-        self._stats.call(engine).note(0.0, failed, now)
+        self._note(engine.key, self._stats.call(engine), failed, now)
         self._own.add(_Outcome(engine.key, failed), now)
         if failed:
             self._tell()
@@ -59,4 +64,22 @@
         for ended in self._heard.new(beat.entry, beat.ended):
             record = self._stats.known_call(ended.key)
             if record is not None:
-                record.note(0.0, ended.failed, now)
+                self._note(ended.key, record, ended.failed, now)
+
+    def _note(
+        self,
+        key: str,
+        record: call_choice.EndpointRecord,
+        failed: bool,
+        now: float,
+    ) -> None:
+        before = record.failure_share(now)
+        record.note(0.0, failed, now)
+        share = record.failure_share(now)
+        if before < decode_choice.MOST_FAILING <= share:
+            self._log.event(
+                "engine_failing",
+                "warning",
+                endpoint=key,
+                failing=round(share, 2),
+            )
--- a/tests/seam_node/forward/test_stream_outcomes.py
+++ b/tests/seam_node/forward/test_stream_outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of streams, as several instances hear of them."""
 
 from seam_model import forwarding
+from seam_node import logs
 from seam_node.forward import call_stats
 from seam_node.forward import heartbeats
 from seam_node.forward import stream_outcomes
@@ -25,7 +26,7 @@
         self.stats = call_stats.CallStats()
         self.told = 0
         self.outcomes = stream_outcomes.StreamOutcomes(
-            self.stats, self._tell, lambda: NOW
+            self.stats, self._tell, lambda: NOW, logs.Log(name)
         )
 
     def _tell(self):
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -357,3 +357,28 @@
             caller.close()
 
     forward_world.play(scenario)
+
+
+def test_an_engine_that_fails_its_streams_is_logged_once():
+    async def scenario(world):
+        await world.engine("prefill-1", "prefill")
+        liar = await world.endpoint(
+            "liar", forward_world.ENGINES, fail_streams, "decode"
+        )
+        for _ in range(4):
+            caller = await world.connect()
+            assert (await caller.draft()).status == 500
+            caller.close()
+        failing = world.logged("engine_failing")
+        assert [each["endpoint"] for each in failing] == [f"{liar.id}/1000"]
+
+    forward_world.play(scenario)
+
+
+async def fail_streams(endpoint, seen, writer):
+    if seen.target.startswith("/sycamoreseam/"):
+        await forward_endpoint.reply_engine(endpoint, seen, writer)
+    else:
+        writer.write(
+            forward_endpoint.answer(seen, b"", "500 Internal Server Error")
+        )
