--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -222,8 +222,11 @@
         return accepted.stage
 
     def _lacks_a_stage(self, engines: list[forwarding.Endpoint]) -> bool:
+        """Tells whether a stage is empty that the service needs."""
         stages = {self._stage_of(each) for each in engines}
-        return len(engines) > 1 and len(stages) == 1
+        if len(engines) == 1:
+            return stages == {forwarding.Stage.PREFILL}
+        return len(stages) == 1
 
     async def _order(self, due: _Due) -> None:
         address = due.endpoint.address
--- a/packages/seam_policy/seam_policy/stage_balance.py
+++ b/packages/seam_policy/seam_policy/stage_balance.py
@@ -62,10 +62,11 @@
 def wanted(current: Split, size: EngineSize, load: Workload) -> Split:
     """Returns the split to move towards; the current one if it will do.
 
-    A stage that has no engine gets one, whatever else it costs.
+    A stage that has no engine gets one, whatever else it costs. An engine that
+    is alone decodes, as such engines read prompts themselves as well.
     """
     if current.total < 2:
-        return current
+        return Split(0, current.total)
     every = [
         Split(count, current.total - count) for count in range(1, current.total)
     ]
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -154,6 +154,17 @@
     forward_world.play(scenario)
 
 
+def test_the_last_engine_is_ordered_to_decode():
+    """The others were taken away, and prefill engines answer no caller."""
+
+    async def scenario(world):
+        last = await world.engine("prefill-0", "prefill")
+        await world.until(lambda: last.orders)
+        assert last.orders[0]["stage"] == "decode"
+
+    forward_world.play(scenario)
+
+
 async def ordered_engine(world):
     """Starts more prefill engines than needed; returns the one ordered."""
     engines = [
