Leave an engine alone until its streams have ended and its stage has changed

It was avoided for 8 s only, then got streams, refused 38 of them, and a second order became due. Ruled out: a lost order (accepted at once).

--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -25,8 +25,9 @@
 
 CHECK_S = 0.5
 ORDER_TIMEOUT_S = 1.0
-CHANGE_S = 8.0
-"""Time that an engine takes to change its stage, at most."""
+CHANGE_S = 14.0
+"""Time that an engine takes to end its streams and then to change its stage,
+at most."""
 LEASE_S = 6.0
 HANDOVER_S = 4.2
 """Time after a lease's end in which an order of its holder may arrive."""
