Tell other instances of failures before the first event only

Cause, found by reading: an instance whose connections are reset, or that is cut off, blamed the engines of all its open streams, and told the others so; two such words leave an engine without streams in the whole fleet for a while. Its own record keeps them, as before the outcomes were shared.

Conclusion: kept for the case that the test plays, which failed before.

--- a/packages/seam_node/seam_node/forward/stream_outcomes.py
+++ b/packages/seam_node/seam_node/forward/stream_outcomes.py
@@ -43,10 +43,23 @@
         self._own: recent_events.OwnEvents[_Outcome] = recent_events.OwnEvents()
         self._heard = recent_events.HeardEvents()
 
-    def note(self, engine: forwarding.Endpoint, failed: bool) -> None:
-        """Takes how a stream of this instance ended."""
+    def note(
+        self, engine: forwarding.Endpoint, failed: bool, started: bool
+    ) -> None:
+        """Takes how a stream of this instance ended.
+
+        A failure after the first event may be that of the connection alone,
+        so the other instances are not told of it.
+
+        Args:
+            engine: where it ran.
+            failed: whether the engine is to blame.
+            started: whether an event had come.
+        """
         now = self._now()
         self._note(engine.key, self._stats.call(engine), failed, now)
+        if failed and started:
+            return
         self._own.add(_Outcome(engine.key, failed), now)
         if failed:
             self._tell()
--- a/tests/seam_node/forward/test_stream_outcomes.py
+++ b/tests/seam_node/forward/test_stream_outcomes.py
@@ -70,7 +70,7 @@
     for sender in fleet:
         engine = sender.choose()
         lost += engine is LIAR
-        sender.outcomes.note(engine, failed=engine is LIAR)
+        sender.outcomes.note(engine, failed=engine is LIAR, started=False)
         for other in fleet:
             if other is not sender:
                 other.outcomes.take(sender.beat())
@@ -79,9 +79,9 @@
 
 def test_a_failure_is_told_at_once_a_success_with_the_next_heartbeat():
     one = Instance("one")
-    one.outcomes.note(SOUND, failed=False)
+    one.outcomes.note(SOUND, failed=False, started=True)
     assert one.told == 0
-    one.outcomes.note(LIAR, failed=True)
+    one.outcomes.note(LIAR, failed=True, started=False)
     assert one.told == 1
     assert [each.failed for each in one.beat().ended] == [False, True]
 
@@ -89,7 +89,7 @@
 def test_an_outcome_counts_once_however_often_it_is_told():
     one, two = Instance("one"), Instance("two")
     two.stats.call(LIAR)
-    one.outcomes.note(LIAR, failed=True)
+    one.outcomes.note(LIAR, failed=True, started=False)
     shares = []
     for _ in range(3):
         two.outcomes.take(one.beat())
@@ -100,7 +100,18 @@
 def test_a_success_elsewhere_counts_as_well():
     one, two = Instance("one"), Instance("two")
     two.stats.call(LIAR).note(0.0, True, NOW)
-    one.outcomes.note(LIAR, failed=False)
+    one.outcomes.note(LIAR, failed=False, started=True)
     two.outcomes.take(one.beat())
     share = two.stats.call(LIAR).failure_share(NOW)
     assert share < call_stats.ENGINE_GAIN
+
+
+def test_broken_connections_of_one_instance_blame_no_engine_elsewhere():
+    """All open connections of an instance are reset at once."""
+    one, two = Instance("one"), Instance("two")
+    two.stats.call(SOUND)
+    for _ in range(5):
+        one.outcomes.note(SOUND, failed=True, started=True)
+    two.outcomes.take(one.beat())
+    assert two.stats.call(SOUND).failure_share(NOW) == 0.0
+    assert one.stats.call(SOUND).failure_share(NOW) > 0.5
