--- a/packages/seam_node/seam_node/forward/decode_places.py
+++ b/packages/seam_node/seam_node/forward/decode_places.py
@@ -44,8 +44,8 @@
 
         Args:
             room: reserves places.
-            heard: returns the newest word of the other instances.
-            tell: sends them a word at once.
+            heard: returns the newest heartbeats of the other instances.
+            tell: sends them a heartbeat at once.
             load: the usual request.
             now: the clock.
         """
--- a/packages/seam_node/seam_node/forward/engine_room.py
+++ b/packages/seam_node/seam_node/forward/engine_room.py
@@ -59,7 +59,7 @@
 
         Args:
             access: the engines.
-            heard: returns the newest word of the other instances.
+            heard: returns the newest heartbeats of the other instances.
             tell: tells them what this one uses.
             load: the usual request.
             now: the clock.
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -55,7 +55,7 @@
 """Turn of an instance that should give no orders."""
 STAGE_LEASE = "stages"
 ROUTES_PROVED_S = 3.5
-"""Age of the store's last word above which routes may be out of date."""
+"""Age of the store's last answer above which routes may be out of date."""
 SWEEP_S = 1.0
 LEAVE_CLOSE_SHARE = 0.25
 """Part of the grace after which no connection is accepted any more."""
--- a/packages/seam_node/seam_node/forward/recent_events.py
+++ b/packages/seam_node/seam_node/forward/recent_events.py
@@ -18,7 +18,7 @@
 RECENT_S = 1.0
 """How long other instances are told of an event."""
 
-Told = TypeVar("Told")
+Event = TypeVar("Event")
 
 
 class Numbered(Protocol):
@@ -33,29 +33,29 @@
 
 
 @attrs.frozen
-class Own(Generic[Told]):
+class Own(Generic[Event]):
     """An event of this instance."""
 
     number: int
-    what: Told
+    what: Event
     at: float
 
 
-class OwnEvents(Generic[Told]):
+class OwnEvents(Generic[Event]):
     """Events of this instance that the others are told of."""
 
     def __init__(self) -> None:
         """Starts with none."""
         self._count = 0
-        self._events: collections.deque[Own[Told]] = collections.deque()
+        self._events: collections.deque[Own[Event]] = collections.deque()
 
-    def add(self, what: Told, now: float) -> None:
+    def add(self, what: Event, now: float) -> None:
         """Adds an event that happens now."""
         self._count += 1
         self._events.append(Own(self._count, what, now))
 
-    def recent(self, now: float) -> tuple[Own[Told], ...]:
-        """Returns the events of the last while, oldest first."""
+    def recent(self, now: float) -> tuple[Own[Event], ...]:
+        """Returns the events of the last `RECENT_S`, oldest first."""
         while self._events and now - self._events[0].at > RECENT_S:
             self._events.popleft()
         return tuple(self._events)
--- a/packages/seam_policy/seam_policy/prefill_choice.py
+++ b/packages/seam_policy/seam_policy/prefill_choice.py
@@ -2,9 +2,9 @@
 
 The one that is expected to end first. Prompts queue there one after the other,
 so the prompts that all instances sent there lately count; what they need is
-taken off as time passes, so that no word is needed when a prefill ends. Answers
-the load pattern of a large fleet in which each instance sends few prompts, and
-all would choose the same idle engine.
+taken off as time passes, so that no message is needed when a prefill ends.
+Answers the load pattern of a large fleet in which each instance sends few
+prompts, and all would choose the same idle engine.
 """
 
 from collections.abc import Sequence
--- a/tests/seam_node/forward/test_prefill_queues.py
+++ b/tests/seam_node/forward/test_prefill_queues.py
@@ -78,7 +78,7 @@
 
 
 def test_a_fleet_in_which_each_sends_few_prompts_spreads_them():
-    """Without each other's word all would choose the first engine."""
+    """Without each other's messages all would choose the first engine."""
     clock = Clock()
     engines = [engine(f"p-{number}") for number in range(5)]
     fleet = [Instance(f"i-{number}", engines, clock) for number in range(20)]
--- a/tests/seam_policy/test_decode_choice.py
+++ b/tests/seam_policy/test_decode_choice.py
@@ -61,7 +61,7 @@
 
 
 def test_requests_of_the_same_moment_are_spread_over_equal_engines():
-    """Many instances decide on the same word of each other."""
+    """Many instances decide on the same heartbeats."""
     counts = dict.fromkeys("abcd", 0)
     for number in range(400):
         request = b"request-%d" % number
--- a/tests/seam_policy/test_prefill_choice.py
+++ b/tests/seam_policy/test_prefill_choice.py
@@ -31,7 +31,7 @@
     assert set(got.values()) == {10}
 
 
-def test_a_queue_is_worked_off_without_a_word():
+def test_a_queue_is_worked_off_without_a_message():
     record = prefill_choice.PrefillRecord()
     record.book(8000, 10.0)
     assert round(record.queued_s(10.0), 3) == 0.2
--- a/tests/standins/forward_beats.py
+++ b/tests/standins/forward_beats.py
@@ -18,7 +18,7 @@
 
 
 def beat(name="two", serving=True, incarnation=1):
-    """Returns a heartbeat with a word of every kind."""
+    """Returns a heartbeat in which every field is set."""
     needs = tuple(
         kv_forecast.Need(float(number), 2.0)
         for number in range(len(kv_forecast.MOMENTS_S))
