--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -53,10 +53,14 @@
         except asyncio.CancelledError:
             silent_s = ctx.now() - started_at
             if ctx.first_byte_at is None and silent_s >= SILENT_S:
-                self._outcomes.note(ctx.place.endpoint, True, False)
+                self._outcomes.note(
+                    ctx.place.endpoint, failed=True, started=False
+                )
             raise
         self._outcomes.note(
-            ctx.place.endpoint, _failed(sent), ctx.first_byte_at is not None
+            ctx.place.endpoint,
+            failed=_failed(sent),
+            started=ctx.first_byte_at is not None,
         )
         if sent.is_error():
             ctx.refused_by.add(ctx.place.endpoint.key)
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -299,9 +299,7 @@
             await forward_endpoint.reply_engine(endpoint, seen, writer)
 
         decode.reply = note_uses
-        caller = await world.connect()
-        assert (await caller.draft()).status == 200
-        caller.close()
+        assert (await draft(world)).status == 200
         assert slots_told == [[1]]
         assert len(prefill.seen) == 1
 
@@ -318,9 +316,7 @@
             )
 
         decode.reply = full
-        caller = await world.connect()
-        assert (await caller.draft()).status == 503
-        caller.close()
+        assert (await draft(world)).status == 503
         assert world.node.room.uses() == ()
 
     forward_world.play(scenario)
@@ -366,9 +362,7 @@
             "liar", forward_world.ENGINES, fail_streams, "decode"
         )
         for _ in range(4):
-            caller = await world.connect()
-            assert (await caller.draft()).status == 500
-            caller.close()
+            assert (await draft(world)).status == 500
         failing = world.logged("engine_failing")
         assert [each["endpoint"] for each in failing] == [f"{liar.id}/1000"]
 
