Take every bound as a fraction and derive timeouts from the bounds

Cause: the setting for the retry allowance was a whole number, while the platform states bounds as fractions too. On such a site no instance started. Three more timeouts were constants that fitted the bounds of the sites known then: the wait of a watch (2 s), the age up to which routes count as current (3.5 s), and the wait of a lease's successor (4.2 s). Ruled out: rounding in the template, which has no arithmetic. Change: retries.allowance is a number; store.settle_ms, orders.handover_ms and entry.max_cache_s are read from the bounds; seam_policy.time_bounds derives the timeouts. A bound that the platform does not state keeps its default. With the usual bounds each timeout has the value that it had.

--- a/packages/seam_model/seam_model/forward_settings.py
+++ b/packages/seam_model/seam_model/forward_settings.py
@@ -15,6 +15,8 @@
 _LEVELS = "debug|info|warning|error"
 MS_PER_S = 1000.0
 DEFAULTS = "defaults_forward.toml"
+MIN_GRACE_S = 0.5
+"""A process needs this time to close its connections and exit."""
 
 
 def _address() -> Any:
@@ -62,6 +64,17 @@
     """Address of the platform's store."""
 
     address: str = _address()
+    settle_ms: float = toml_check.checked_field(above=0, high=3_600_000)
+    """Time after a disruption of the store or of this instance within which
+    the instance must follow all changes again, in milliseconds."""
+
+
+@attrs.frozen
+class OrderSettings:
+    """Orders to engines, which only the holder of a lease may send."""
+
+    handover_ms: float = toml_check.checked_field(high=3_600_000)
+    """Minimum time between orders of two holders, in milliseconds."""
 
 
 @attrs.frozen
@@ -81,6 +94,12 @@
 
     cache_s: float = toml_check.checked_field(above=0, high=3600)
     """Time for which a caller may cache an answer."""
+    max_cache_s: float = toml_check.checked_field(above=0, high=3600)
+    """Longest time that callers accept; limits `cache_s`."""
+
+    def effective_cache_s(self) -> float:
+        """Returns the time to state in an answer."""
+        return min(self.cache_s, self.max_cache_s)
 
 
 @attrs.frozen
@@ -89,8 +108,9 @@
 
     ratio: float = toml_check.checked_field(high=1)
     """Retries per request."""
-    allowance: int = toml_check.checked_field()
-    """Additional retries in each window."""
+    allowance: float = toml_check.checked_field()
+    """Additional retries in each window; may be a fraction, as it is shared by
+    all instances."""
     window_s: float = toml_check.checked_field(above=0)
 
 
@@ -98,7 +118,7 @@
 class LeavingSettings:
     """Shutdown of an instance."""
 
-    grace_s: float = toml_check.checked_field(above=0)
+    grace_s: float = toml_check.checked_field(above=MIN_GRACE_S)
     """Time from SIGTERM until the process is killed."""
 
 
@@ -128,6 +148,7 @@
     instance: InstanceSettings
     listen: ListenSettings
     store: StoreSettings
+    orders: OrderSettings
     logs: LogSettings
     entry: EntrySettings
     retries: RetrySettings
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -7,13 +7,9 @@
 import expression
 
 from seam_model import errors
-from seam_node import logs
 from seam_node.forward import store_link
 from seam_node.ports import catalog
 
-WATCH_WAIT_S = 2.0
-"""Duration of one watch call, and so the time to detect a store that stopped
-responding or no longer delivers changes to the watch."""
 LIST_TIMEOUT_S = 1.0
 COALESCE_S = 0.1
 """Delay after a change, so that changes in quick succession need one call."""
@@ -48,8 +44,8 @@
         source: catalog.Catalog,
         listener: ChangeListener,
         link: store_link.StoreLink,
+        wait_s: float,
         now: Callable[[], float],
-        log: logs.Log,
     ):
         """Creates a watch that is not started.
 
@@ -58,15 +54,16 @@
             source: the store.
             listener: receives the changes.
             link: reachability of the store, shared by all watches.
+            wait_s: duration of one watch call, and so the time to detect a
+                store that no longer delivers changes to the watch.
             now: the clock.
-            log: the log.
         """
         self._kind = kind
         self._source = source
         self._listener = listener
         self._link = link
+        self._wait_s = wait_s
         self._now = now
-        self._log = log
         self._names: set[str] = set()
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._revision: int | None = None
@@ -137,7 +134,7 @@
 
     async def _watch(self) -> Done:
         watched = await self._source.watch(
-            self._kind, self._revision, WATCH_WAIT_S
+            self._kind, self._revision, self._wait_s
         )
         if watched.is_error():
             if isinstance(watched.error, errors.HistoryGone):
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -50,12 +50,11 @@
 from seam_node.ports import clock
 from seam_node.ports import wire
 from seam_policy import retry_share
+from seam_policy import time_bounds
 
 NO_ORDER_POSITION = 10**6
 """Order position of an instance that must not send orders."""
 STAGE_LEASE = "stages"
-ROUTES_UP_TO_DATE_S = 3.5
-"""Age of the store's last answer up to which the routes count as current."""
 SWEEP_INTERVAL_S = 1.0
 STOP_ACCEPTING_GRACE_SHARE = 0.25
 """Share of the grace period after which new connections are refused."""
@@ -191,11 +190,15 @@
     def entry_answer(self, data_centre: str) -> entry.EntryAnswer:
         """Returns the instances that a caller should use."""
         live = [*self.peers.live(), self._heartbeat()]
-        return entry.choose(live, data_centre, self.settings.entry.cache_s)
+        cache_s = self.settings.entry.effective_cache_s()
+        return entry.choose(live, data_centre, cache_s)
 
     # Wiring
 
     def _make_state(self) -> None:
+        self._watch_wait_s = time_bounds.watch_wait_s(
+            self.settings.store.settle_ms / forward_settings.MS_PER_S
+        )
         self.routes = catalog_state.Routes(self.log)
         self.endpoints = catalog_state.Endpoints(self.log)
         self.stats = call_stats.CallStats()
@@ -231,8 +234,8 @@
             self.ports.catalog,
             listener,
             self._store_link,
+            self._watch_wait_s,
             self._now,
-            self.log,
         )
 
     def _make_senders(self) -> None:
@@ -299,7 +302,10 @@
             self.ports.catalog,
             self.ports.clock,
             self.stages.wants_lease,
-            stages.HANDOVER_MAX_S,
+            time_bounds.lease_handover_s(
+                self.settings.orders.handover_ms / forward_settings.MS_PER_S,
+                stages.ORDER_TIMEOUT_S,
+            ),
             stages.LEASE_S,
         )
         self.stages.set_lease(self._stage_lease)
@@ -371,7 +377,8 @@
         return self._exit_at - self._now()
 
     def _routes_up_to_date(self) -> bool:
-        return self._routes_watch.age_s() <= ROUTES_UP_TO_DATE_S
+        up_to_date_s = time_bounds.up_to_date_s(self._watch_wait_s)
+        return self._routes_watch.age_s() <= up_to_date_s
 
     def _routes_version(self) -> int:
         """Returns the version in force; 0 if there is none."""
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -28,9 +28,6 @@
 STAGE_CHANGE_MAX_S = 14.0
 """Longest time an engine needs to finish its streams and change its stage."""
 LEASE_S = 6.0
-HANDOVER_MAX_S = 4.2
-"""Longest time after a lease's expiry in which an order of its former holder
-may still arrive."""
 LEASE_READ_INTERVAL_S = 5.0
 """Interval between reads of the lease."""
 MAX_LEASE_OBSERVERS = 3
--- a/packages/seam_policy/seam_policy/retry_share.py
+++ b/packages/seam_policy/seam_policy/retry_share.py
@@ -33,7 +33,7 @@
 class RetryShare:
     """Counts requests and retries of each service in a sliding window."""
 
-    def __init__(self, ratio: float, allowance: int, window_s: float):
+    def __init__(self, ratio: float, allowance: float, window_s: float):
         """Creates a share of which nothing is spent.
 
         Args:
--- /dev/null
+++ b/packages/seam_policy/seam_policy/time_bounds.py
@@ -0,0 +1,37 @@
+"""Derives timeouts from the time bounds of a deployment.
+
+This handles deployments whose bounds are tighter or wider than usual: an
+instance must notice a store that fell silent, and hand over the right to send
+orders, within the time that the deployment allows.
+"""
+
+MAX_WATCH_WAIT_S = 2.0
+MIN_WATCH_WAIT_S = 0.3
+RELIST_S = 1.0
+"""Time to give up a silent watch after its wait and to list the objects."""
+ORDER_ARRIVAL_MARGIN_S = 0.2
+"""Longest time from an order's timeout to its arrival at an engine."""
+
+
+def watch_wait_s(settle_s: float) -> float:
+    """Returns how long a watch of the store may wait for a change.
+
+    A watch whose connection is silent looks like one without changes. It must
+    end, and the objects must be listed again, within `settle_s`.
+    """
+    wait_s = settle_s - RELIST_S
+    return min(MAX_WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, wait_s))
+
+
+def up_to_date_s(watch_wait_s: float) -> float:
+    """Returns the age of the store's last answer up to which it is current."""
+    return watch_wait_s + 1.5 * RELIST_S
+
+
+def lease_handover_s(handover_s: float, order_timeout_s: float) -> float:
+    """Returns how long a successor waits after a lease has expired.
+
+    The last order of the former holder may arrive until its timeout; the first
+    order of the successor must follow it by `handover_s`.
+    """
+    return order_timeout_s + handover_s + ORDER_ARRIVAL_MARGIN_S
--- a/tests/seam_node/forward/test_catalog_watch.py
+++ b/tests/seam_node/forward/test_catalog_watch.py
@@ -20,6 +20,9 @@
     return catalog.Entry(name, revision, endpoint)
 
 
+WATCH_WAIT_S = 2.0
+
+
 class FakeCatalog(catalog.Catalog):
     """An in-memory store whose calls fail while it is unreachable."""
 
@@ -125,8 +128,8 @@
             source,
             names,
             link,
+            WATCH_WAIT_S,
             loop.time,
-            log,
         )
         await watch.start()
         await asyncio.sleep(0.1)
@@ -234,14 +237,13 @@
 def test_only_one_watch_probes_an_unreachable_store():
     async def scenario(source, names, watch, link):
         loop = asyncio.get_running_loop()
-        log = logs.Log("one")
         other = catalog_watch.CatalogWatch(
             catalog.Kind.ROUTES,
             source,
             Names(),
             link,
+            WATCH_WAIT_S,
             loop.time,
-            log,
         )
         await other.start()
         source.unreachable, source.connects = True, False
@@ -267,7 +269,7 @@
         await asyncio.sleep(0.1)
         source.remove("e-1", watched=False)
         source.history_gone = True
-        await asyncio.sleep(catalog_watch.WATCH_WAIT_S + 0.1)
+        await asyncio.sleep(WATCH_WAIT_S + 0.1)
         assert names.names == {"e-2"}
 
     run_scenario(scenario)
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from seam_node.forward import node
 from seam_node.forward import stages
+from seam_policy import time_bounds
 from standins import forward_endpoint
 from standins import forward_world
 
@@ -60,7 +60,7 @@
 
 
 def test_unknown_routes_get_503_while_the_store_is_unreachable(monkeypatch):
-    monkeypatch.setattr(node, "ROUTES_UP_TO_DATE_S", 0.0)
+    monkeypatch.setattr(time_bounds, "up_to_date_s", lambda watch_wait_s: 0.0)
 
     async def scenario(world):
         await world.endpoint("e-1")
