--- a/packages/seam_model/seam_model/forward_settings.py
+++ b/packages/seam_model/seam_model/forward_settings.py
@@ -43,6 +43,20 @@
     data_centre: str = _text()
 
 
+@attrs.frozen
+class CapacitySettings:
+    """Processor capacity of this instance."""
+
+    core_share: float = toml_check.checked_field(above=0, high=1024)
+    """Share of a core that the process may use."""
+    core_speed: float = toml_check.checked_field(above=0, high=1024)
+    """Speed of that core, relative to the slowest kind."""
+
+    def cores(self) -> float:
+        """Returns the capacity, relative to one core of the slowest kind."""
+        return self.core_share * self.core_speed
+
+
 @attrs.frozen
 class ListenSettings:
     """Addresses on which the instance listens."""
@@ -146,6 +160,7 @@
     """All settings of an instance that forwards by routes."""
 
     instance: InstanceSettings
+    capacity: CapacitySettings
     listen: ListenSettings
     store: StoreSettings
     orders: OrderSettings
--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -59,6 +59,8 @@
     resumable: bool = False
     max_gap_s: float = 0.0
     """Target for the longest pause between events; 0 if there is none."""
+    patience_s: float = 2.0
+    """Time after which callers leave a stream without a new event."""
 
     def may_retry(self) -> bool:
         """Returns whether a request may run more than once."""
--- a/packages/seam_node/seam_node/controllers/lease.py
+++ b/packages/seam_node/seam_node/controllers/lease.py
@@ -76,8 +76,13 @@
         is_wanted: Callable[[], bool],
         order_timeout_s: float,
         duration_s: float = DURATION_S,
+        takes_over_own: bool = False,
     ):
-        """Starts without the lease."""
+        """Starts without the lease.
+
+        With `takes_over_own`, a restarted holder takes its lease over without
+        waiting. Its former process must have ended.
+        """
         super().__init__(f"lease/{name}")
         self._key = PREFIX + name
         self._holder = holder
@@ -87,6 +92,7 @@
         self._is_wanted = is_wanted
         self._order_timeout_s = order_timeout_s
         self._duration_s = duration_s
+        self._takes_over_own = takes_over_own
         self._observed: _Observation | None = None
         self._valid_until_s = float("-inf")
         self._last_fence = 0
@@ -167,6 +173,8 @@
     def _is_expired(self, observed: _Observation) -> bool:
         if observed.record is None:
             return True
+        if self._takes_over_own and observed.record.holder == self._holder:
+            return True
         wait_s = observed.record.duration_s + self._order_timeout_s
         return self._clock.monotonic() - observed.since_s > wait_s
 
--- a/packages/seam_node/seam_node/forward/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/catalog_state.py
@@ -100,6 +100,13 @@
             self._usable[service] = usable
         return usable
 
+    def by_key(self, service: str, key: str) -> forwarding.Endpoint | None:
+        """Returns a usable endpoint of a service; None if there is none."""
+        for each in self.usable(service):
+            if each.key == key:
+                return each
+        return None
+
     def still_usable(self, endpoint: forwarding.Endpoint) -> bool:
         """Returns whether this incarnation may still get new work."""
         current = self._by_id.get(endpoint.id)
--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from seam_model import forwarding
-from seam_policy import kv_forecast
+from seam_node.forward import messages
 
 
 class CallerAnswer(abc.ABC):
@@ -46,14 +46,18 @@
 
 
 @attrs.frozen
-class DecodeReservation:
-    """Capacity at a decode engine that is reserved for one request."""
+class Placement:
+    """A place at engines that was granted to one request."""
 
-    endpoint: forwarding.Endpoint
-    hold_id: str
-    """Id of the engine's own reservation; empty if it offers none."""
-    stream_id: str
-    """Id of the stream among this instance's streams."""
+    number: int
+    """Number of the stream among this instance's streams."""
+    decode: forwarding.Endpoint
+    prefill: forwarding.Endpoint | None
+    """None to prefill at the decode engine."""
+    queued_s: float
+    """Expected wait of the prompt at the prefill engine."""
+    placer: str
+    """Name of the instance that granted it."""
 
 
 @attrs.frozen
@@ -84,12 +88,15 @@
     """Whether an endpoint may have executed the request."""
     failed_keys: set[str] = attrs.field(factory=set)
     """Keys of endpoints that failed or refused the request."""
-    is_returning_caller: bool = False
-    """Whether the caller is likely to be retrying after a refusal."""
-    stream_size: kv_forecast.StreamSize | None = None
-    reservation: DecodeReservation | None = None
+    late: bool = False
+    """Whether the request can no longer meet its latency target."""
+    placement: Placement | None = None
+    hold_id: str = ""
+    """Id of the engine's own hold; empty if it offers none."""
+    outcome: messages.Outcome = messages.Outcome.UNKNOWN
+    """How the decode engine did."""
     hold_used: bool = False
-    """Whether the reservation and the KV cache were sent to an engine."""
+    """Whether the hold and the KV cache were sent to an engine."""
     kv: PrefilledKv | None = None
     prefills: int = 0
     retry_after_s: float = 0.5
@@ -102,7 +109,7 @@
     longest_gap_s: float = 0.0
     """Longest pause between chunks of a stream."""
     reserved_at: float | None = None
-    """Time at which decode capacity was reserved."""
+    """Time at which the decode engine held a place."""
     prefilled_at: float | None = None
     last_event_id: int = 0
     """Id of the last event forwarded to the caller."""
@@ -125,6 +132,15 @@
             return True
         return len(set(self.tried)) < self.route.max_attempts
 
+    def engine_rank(self) -> int:
+        """Returns the request's priority at engines, lowest first."""
+        return 2 * self.route.rank + self.late
+
+    def only_keys(self) -> tuple[str, ...]:
+        """Returns the engines still allowed by the route; empty for all."""
+        tried = set(self.tried)
+        return tuple(tried) if len(tried) >= self.route.max_attempts else ()
+
     def record_sent(self, key: str) -> None:
         """Records that the request is sent to an endpoint."""
         self.tried.append(key)
--- a/packages/seam_node/seam_node/forward/entry.py
+++ b/packages/seam_node/seam_node/forward/entry.py
@@ -5,7 +5,7 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import heartbeats
+from seam_node.forward import messages
 
 MAX_ADDRESSES = 64
 MIN_LOCAL_ADDRESSES = 2
@@ -21,7 +21,7 @@
 
 
 def choose(
-    live: Sequence[heartbeats.Heartbeat],
+    live: Sequence[messages.Heartbeat],
     data_centre: str,
     cache_s: float,
 ) -> EntryAnswer:
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -5,9 +5,12 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.forward import context
+from seam_node.forward import engine_outcomes
+from seam_node.forward import messages
+from seam_node.forward import placement
 from seam_node.forward import relay
 from seam_node.forward import request_sender
-from seam_node.forward import stream_outcomes
+from seam_node.forward import workload
 from seam_node.forward.filters import base
 from seam_node.ports import wire
 
@@ -15,6 +18,8 @@
 SLOW_FIRST_EVENT_S = 1.0
 """Wait for the first event after which a cancelled stream counts as a failure
 of the engine."""
+RATE_AFTER_S = 0.6
+"""Duration after which the output rate of a stream is measured."""
 _ENGINE_FAILURES = (errors.EndpointLost, errors.AnswerInvalid)
 
 
@@ -25,15 +30,21 @@
         self,
         sender: request_sender.RequestSender,
         codec: wire.Wire,
-        outcomes: stream_outcomes.StreamOutcomes,
+        outcomes: engine_outcomes.EngineOutcomes,
+        load: workload.WorkloadEstimate,
+        places: placement.Placement,
     ):
         """Creates the filter.
 
         Args:
             sender: sends requests to engines.
             codec: decodes event ids.
-            outcomes: records how streams end.
+            outcomes: records how engines do.
+            load: told the output rate of each stream.
+            places: told when a stream starts.
         """
+        self._load = load
+        self._places = places
         self._sender = sender
         self._outcomes = outcomes
         self._codec = codec
@@ -43,38 +54,84 @@
     ) -> base.Result:
         """Runs the request and relays the answer as it arrives."""
         del proceed
-        stream_relay = relay.make_relay(ctx, self._codec)
+        rate = _OutputRate(ctx, self._load, self._places)
+        stream_relay = relay.make_relay(ctx, rate.on_progress, self._codec)
         options = wire.SendOptions(
             max(0.0, ctx.remaining_s()),
             kv_source=_kv_source(ctx),
-            hold_id=ctx.reservation.hold_id,
-            rank=ctx.route.rank,
+            hold_id=ctx.hold_id,
+            rank=ctx.engine_rank(),
             last_event_id=ctx.last_event_id,
         )
         ctx.hold_used = True
         started_at = ctx.now()
         try:
             sent = await self._sender.send(
-                ctx, ctx.reservation.endpoint, options, stream_relay
+                ctx, ctx.placement.decode, options, stream_relay
             )
         except asyncio.CancelledError:
             waited_s = ctx.now() - started_at
             if ctx.first_byte_at is None and waited_s >= SLOW_FIRST_EVENT_S:
-                self._outcomes.record(
-                    ctx.reservation.endpoint, failed=True, started=False
-                )
+                self._record(ctx, failed=True)
             raise
-        self._outcomes.record(
-            ctx.reservation.endpoint,
-            failed=_is_engine_failure(sent),
-            started=ctx.first_byte_at is not None,
-        )
+        self._record(ctx, _is_engine_failure(sent))
         if sent.is_error():
-            ctx.failed_keys.add(ctx.reservation.endpoint.key)
+            ctx.failed_keys.add(ctx.placement.decode.key)
             return base.fail(sent.error)
+        rate.finish()
         stream_relay.end(sent.ok)
         return base.OK
 
+    def _record(self, ctx: context.ForwardContext, failed: bool) -> None:
+        """Records how the engine did, for this instance and the placers.
+
+        A failure after the first event may be caused by this instance's
+        connection alone, so it is not told to others.
+        """
+        self._outcomes.add(ctx.placement.decode.key, failed)
+        if not failed:
+            ctx.outcome = messages.Outcome.SERVED
+        elif ctx.first_byte_at is None:
+            ctx.outcome = messages.Outcome.FAILED
+
+
+class _OutputRate:
+    """Measures the output rate of a stream once, long before its end."""
+
+    def __init__(
+        self,
+        ctx: context.ForwardContext,
+        load: workload.WorkloadEstimate,
+        places: placement.Placement,
+    ):
+        self._ctx = ctx
+        self._load = load
+        self._places = places
+        self._first_events: int | None = None
+        """Events in the first bytes, which took an unknown time."""
+        self._recorded = False
+
+    def on_progress(self) -> None:
+        """Records the rate when the stream has run for some time."""
+        ctx = self._ctx
+        if self._first_events is None:
+            self._first_events = ctx.events
+            self._places.started(ctx.placement.number)
+        if ctx.last_byte_at - ctx.first_byte_at >= RATE_AFTER_S:
+            self.finish()
+
+    def finish(self) -> None:
+        """Records the rate unless that was done before."""
+        if self._recorded or self._first_events is None:
+            return
+        self._recorded = True
+        ctx = self._ctx
+        events = ctx.events - self._first_events
+        self._load.record_output_rate(
+            events * ctx.service.engine.tokens_per_event,
+            ctx.last_byte_at - ctx.first_byte_at,
+        )
+
 
 def _is_engine_failure(sent: request_sender.Sent) -> bool:
     """Returns whether the engine caused the stream to fail."""
--- a/packages/seam_node/seam_node/forward/handler.py
+++ b/packages/seam_node/seam_node/forward/handler.py
@@ -10,7 +10,6 @@
 from seam_node.forward import caller_server
 from seam_node.forward import context
 from seam_node.forward import refusals
-from seam_node.forward import workload
 from seam_node.ports import wire
 
 
@@ -21,7 +20,6 @@
         self,
         codec: wire.Wire,
         filters: chain.Chain,
-        load: workload.WorkloadEstimate,
         store_age_s: Callable[[], float],
         now: Callable[[], float],
         meter: metrics.Metrics,
@@ -32,7 +30,6 @@
         Args:
             codec: decodes requests and encodes header fields.
             filters: the chain that processes a request.
-            load: updated with each completed stream.
             store_age_s: returns the time since the store's last answer.
             now: the clock.
             meter: where outcomes are counted.
@@ -40,7 +37,6 @@
         """
         self._codec = codec
         self._chain = filters
-        self._load = load
         self._store_age_s = store_age_s
         self._now = now
         self._metrics = meter
@@ -121,7 +117,7 @@
             outcome=outcome,
             detail="" if error is None else error.describe(),
             took_s=round(took_s, 4),
-            returned=ctx.is_returning_caller,
+            returned=ctx.late,
             placed_s=ctx.since_arrival_s(ctx.reserved_at),
             prefilled_s=ctx.since_arrival_s(ctx.prefilled_at),
             first_byte_s=ctx.since_arrival_s(ctx.first_byte_at),
@@ -135,17 +131,5 @@
         kind_name = ctx.route.kind.value if ctx.route else "none"
         rank = str(ctx.route.rank) if ctx.route else ""
         self._metrics.request_ended(kind_name, rank, outcome, took_s)
-        if error is None and ctx.events:
-            self._record_stream(ctx)
         if ctx.first_byte_at is not None:
             self._metrics.first_token(rank, ctx.first_byte_at - ctx.arrived_at)
-
-    def _record_stream(self, ctx: context.ForwardContext) -> None:
-        engine = ctx.service.engine
-        if engine is None or ctx.req.prompt is None:
-            return
-        self._load.record_stream(
-            ctx.req.prompt.tokens,
-            ctx.events * engine.tokens_per_event,
-            ctx.last_byte_at - ctx.first_byte_at,
-        )
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/messages.py
@@ -0,0 +1,179 @@
+"""Datagrams that instances send to each other. All of their state is soft."""
+
+import enum
+
+import attrs
+
+from seam_model import forwarding
+from seam_policy import estimate
+from seam_policy import kv_forecast
+
+
+@attrs.frozen
+class Heartbeat:
+    """Identity and state of an instance, sent to all others."""
+
+    entry: forwarding.InstanceEntry
+    serving: bool
+    """Whether the instance accepts new callers."""
+    routes_version: int
+    capacity: float
+    """Processor capacity, relative to one core."""
+    reaches_store: bool
+    """Whether the platform's store answers it."""
+
+
+@attrs.frozen
+class StreamRow:
+    """One stream in a report."""
+
+    number: int
+    engine: str
+    """Key of the decode engine's incarnation."""
+    size: kv_forecast.StreamSize
+    age_s: float
+    """Time since the engine started to generate; negative before that."""
+
+
+@attrs.frozen
+class ExcludedEngine:
+    """An engine that should get no new work for some time.
+
+    Either it is changing its stage, or its KV caches were lost before the
+    decode engine fetched them.
+    """
+
+    key: str
+    remaining_s: float
+
+
+@attrs.frozen
+class WorkloadMeans:
+    """What one instance measured of its model requests."""
+
+    prompt_tokens: estimate.Mean = estimate.NO_SAMPLES
+    output_tokens: estimate.Mean = estimate.NO_SAMPLES
+    output_tokens_s: estimate.Mean = estimate.NO_SAMPLES
+    prefill_tokens_s: estimate.Mean = estimate.NO_SAMPLES
+
+
+@attrs.frozen
+class StreamReport:
+    """All streams of an instance, sent to the placers at an interval."""
+
+    holder: str
+    incarnation: int
+    streams: tuple[StreamRow, ...]
+    excluded: tuple[ExcludedEngine, ...]
+    workload: WorkloadMeans
+
+
+@attrs.frozen
+class PlaceAsk:
+    """Asks a placer for a place at engines; repeated until it is answered."""
+
+    holder: str
+    incarnation: int
+    number: int
+    """Number of the stream among those of the holder's incarnation."""
+    request_id: str
+    service: str
+    route: str
+    rank: int
+    prompt_tokens: int
+    max_tokens: int
+    hinted_tokens: int
+    """The caller's estimate of the output's length."""
+    age_s: float
+    """Time since the request arrived."""
+    deadline_s: float
+    """Time that the caller allowed at arrival; negative if it set none."""
+    timeout_s: float
+    target_s: float
+    patience_s: float
+    data_centre: str
+    """Data centre of the holder."""
+    avoid: tuple[str, ...] = ()
+    """Keys of engines that failed or refused the request."""
+    only: tuple[str, ...] = ()
+    """Keys of the engines that the request may still use; empty for all."""
+
+
+class PlaceState(enum.IntEnum):
+    """State of a request for a place."""
+
+    QUEUED = 0
+    GRANTED = 1
+    FULL = 2
+    """Refused: no place in time."""
+    NO_ENGINE = 3
+    """Refused: the service has no usable decode engine."""
+
+
+@attrs.frozen
+class PlaceAnswer:
+    """A placer's answer to `PlaceAsk`."""
+
+    placer: str
+    number: int
+    state: PlaceState
+    decode: str = ""
+    """Key of the decode engine."""
+    prefill: str = ""
+    """Key of the prefill engine; empty to prefill at the decode engine."""
+    queued_s: float = 0.0
+    """Expected wait of the prompt at the prefill engine."""
+    expected_tokens: int = 0
+    """Expected length of the output."""
+    late: bool = False
+    """Whether the request can no longer meet its latency target."""
+    retry_after_s: float = 0.0
+    engines: int = 0
+    """Decode engines that the request could use."""
+
+
+class Outcome(enum.IntEnum):
+    """How the use of a place ended."""
+
+    UNKNOWN = 0
+    """Nothing is known about the engine, for example as the caller left."""
+    SERVED = 1
+    FAILED = 2
+    """The engine failed before the first event."""
+    FULL = 3
+    """The engine refused, and did not run anything."""
+
+
+@attrs.frozen
+class PrefillEnded:
+    """Tells placers how long a prefill took, or that it failed."""
+
+    holder: str
+    number: int
+    """Number of the stream whose prompt it was."""
+    engine: str
+    tokens: int
+    took_s: float
+    queued_s: float
+    outcome: Outcome
+
+
+@attrs.frozen
+class StreamEnded:
+    """Tells placers that a stream no longer needs its place."""
+
+    holder: str
+    incarnation: int
+    number: int
+    engine: str
+    outcome: Outcome
+
+
+Message = (
+    Heartbeat
+    | StreamReport
+    | PlaceAsk
+    | PlaceAnswer
+    | PrefillEnded
+    | StreamEnded
+)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -20,21 +20,26 @@
 from seam_node.forward import catalog_state
 from seam_node.forward import catalog_watch
 from seam_node.forward import connections
-from seam_node.forward import decode_capacity
-from seam_node.forward import decode_places
+from seam_node.forward import coordinators
+from seam_node.forward import datagrams
 from seam_node.forward import engine_access
+from seam_node.forward import engine_outcomes
 from seam_node.forward import entry
 from seam_node.forward import exchange
 from seam_node.forward import forward_gauges
 from seam_node.forward import handler
-from seam_node.forward import heartbeats
+from seam_node.forward import holds
+from seam_node.forward import messages
 from seam_node.forward import peers
-from seam_node.forward import prefill_queues
+from seam_node.forward import placement
+from seam_node.forward import placement_service
+from seam_node.forward import placer
+from seam_node.forward import prefill_engines
 from seam_node.forward import release_calls
 from seam_node.forward import request_sender
 from seam_node.forward import stages
 from seam_node.forward import store_link
-from seam_node.forward import stream_outcomes
+from seam_node.forward import stream_reports
 from seam_node.forward import suspend_watch
 from seam_node.forward import workload
 from seam_node.forward.filters import attempt
@@ -50,6 +55,7 @@
 from seam_node.ports import clock
 from seam_node.ports import wire
 from seam_policy import retry_share
+from seam_policy import stream_ledger
 from seam_policy import time_bounds
 
 NO_ORDER_POSITION = 10**6
@@ -112,7 +118,6 @@
         self._handler = handler.RequestHandler(
             ports.wire,
             self._make_chain(),
-            self.load,
             self._endpoints_watch.age_s,
             self._now,
             meter,
@@ -212,16 +217,17 @@
             catalog.Kind.ENDPOINTS, self.endpoints
         )
         self._announcer = announcer.Announcer(self.entry, self.ports.catalog)
+        self._port = datagrams.DatagramPort(self.entry.peers)
         self.peers = peers.PeerHeartbeats(
             self.entry,
             self.ports.catalog,
+            self._port,
             self._heartbeat,
-            self._on_heartbeat,
             self._announcer.announce,
             self._now,
             self.log,
         )
-        self.load = workload.WorkloadEstimate(self.settings.workload)
+        self.load = workload.WorkloadEstimate(self.settings.workload, self._now)
         self._suspend_watch = suspend_watch.SuspendWatch(
             self._now, self._on_resume, self.log
         )
@@ -261,30 +267,64 @@
             self.releases,
             self.log,
         )
-        self.decode_capacity = decode_capacity.DecodeCapacity(
+        self.outcomes = engine_outcomes.EngineOutcomes(
+            self.stats, self._now, self.log
+        )
+        self._make_placement()
+        self.endpoints.on_ended = self._on_ended
+        self.endpoints.on_stage = lambda each: self.stats.include(each.key)
+        self._make_stages()
+
+    def _make_placement(self) -> None:
+        self.ledger = stream_ledger.StreamLedger(
+            lambda: self.load.output_tokens_s
+        )
+        self.coordinators = coordinators.Coordinators(
+            self._heartbeat, self.peers.live, self._now, self.log
+        )
+        self._prefill_engines = prefill_engines.PrefillEngines(
+            self._engines, self.settings.one_way_s, self._now
+        )
+        self.placer = placer.Placer(
+            self.entry.name,
             self._engines,
-            self.peers.received_heartbeats,
-            self.peers.schedule_heartbeat,
+            self.ledger,
+            self._prefill_engines,
+            self._engine_spec,
             self.load,
             self._now,
-            self.entry.data_centre,
         )
-        self.decode_queue = decode_places.DecodeCapacityQueue(
-            self.decode_capacity,
-            self.peers.received_heartbeats,
-            self.peers.schedule_heartbeat,
-            self.load,
+        self.placement = placement.Placement(
+            self.entry,
+            self.coordinators,
+            self.placer,
+            self.ledger,
+            self.endpoints,
+            self.outcomes,
+            self._port.send,
             self._now,
+            self.log,
         )
-        self.prefill_queues = prefill_queues.PrefillQueues(
-            self.stats, self.peers.schedule_heartbeat, self._now
+        self._placement_service = placement_service.PlacementService(
+            self.entry,
+            self.placer,
+            self.ledger,
+            self.outcomes,
+            self.load,
+            self.peers.entry_of,
+            self._port.send,
+            self._now,
+            self.log,
         )
-        self.outcomes = stream_outcomes.StreamOutcomes(
-            self.stats, self.peers.schedule_heartbeat, self._now, self.log
+        self._stream_reports = stream_reports.StreamReports(
+            self.entry, self.coordinators, self._stream_report, self._port.send
         )
-        self.endpoints.on_ended = self._on_ended
-        self.endpoints.on_stage = lambda each: self.stats.include(each.key)
-        self._make_stages()
+        service = self._placement_service
+        self._port.handle(messages.PlaceAsk, service.on_ask)
+        self._port.handle(messages.StreamEnded, service.on_ended)
+        self._port.handle(messages.PrefillEnded, service.on_prefill_ended)
+        self._port.handle(messages.StreamReport, service.on_report)
+        self._port.handle(messages.PlaceAnswer, self.placement.on_answer)
 
     def _make_stages(self) -> None:
         self.stages = stages.StageController(
@@ -292,7 +332,6 @@
             self._engines,
             self.load,
             self._order_position,
-            self.peers.schedule_heartbeat,
             self._now,
         )
         self._stage_lease = lease.LeaseController(
@@ -307,6 +346,7 @@
                 stages.ORDER_TIMEOUT_S,
             ),
             stages.LEASE_S,
+            takes_over_own=True,
         )
         self.stages.set_lease(self._stage_lease)
 
@@ -317,7 +357,7 @@
                 self._routes_version,
                 self._endpoints_watch.age_s,
                 lambda: len(self.peers.live()),
-                lambda: len(self.decode_queue),
+                lambda: len(self.placer),
                 lambda: self._conns.opened_count,
             ),
         )
@@ -327,16 +367,22 @@
         model_chain = chain.Chain(
             [
                 attempt.AttemptFilter(self.sender, self.log),
-                reserve.ReserveFilter(self.decode_queue),
+                reserve.ReserveFilter(
+                    self.placement, holds.EngineHolds(self._engines)
+                ),
                 prefill.PrefillFilter(
                     self._engines,
                     self.sender,
-                    self.prefill_queues,
-                    one_way_delay_s,
-                    self.peers.schedule_heartbeat,
+                    self._prefill_engines,
+                    self.placement,
+                    self.load,
                 ),
                 decode.DecodeFilter(
-                    self.sender, self.ports.wire, self.outcomes
+                    self.sender,
+                    self.ports.wire,
+                    self.outcomes,
+                    self.load,
+                    self.placement,
                 ),
             ]
         )
@@ -360,9 +406,12 @@
 
     def _controllers(self) -> tuple:
         return (
+            self._port,
             self._routes_watch,
             self._endpoints_watch,
             self.peers,
+            self._placement_service,
+            self._stream_reports,
             self._suspend_watch,
             self._stage_lease,
             self.stages,
@@ -385,43 +434,38 @@
         table = self.routes.table
         return table.version if table else 0
 
-    def _heartbeat(self) -> heartbeats.Heartbeat:
-        return heartbeats.Heartbeat(
+    def _engine_spec(self, service: str) -> forwarding.EngineSpec | None:
+        """Returns the engines' capacity of a service, None without engines."""
+        table = self.routes.table
+        spec = table.services.get(service) if table else None
+        return spec.engine if spec else None
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
             self.entry,
             self.not_ready() is None,
             self._routes_version(),
-            self.decode_capacity.uses(),
-            self._excluded(),
-            self.decode_queue.queue_head(),
-            self.prefill_queues.recent(),
-            self.outcomes.recent(),
+            self.settings.capacity.cores(),
+            not self._store_link.unreachable,
         )
 
-    def _excluded(self) -> tuple[heartbeats.ExcludedEngine, ...]:
-        now = self._now()
-        return tuple(
-            heartbeats.ExcludedEngine(key, until - now)
-            for key, until in self.stats.excluded(now).items()
+    def _stream_report(self) -> messages.StreamReport:
+        return messages.StreamReport(
+            self.entry.name,
+            self.entry.incarnation,
+            self.placement.streams(),
+            self.outcomes.excluded(),
+            self.load.own(),
         )
 
-    def _on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        for each in heartbeat.excluded:
-            self.stats.exclude(each.key, self._now() + each.remaining_s)
-        self.prefill_queues.merge(heartbeat)
-        self.outcomes.merge(heartbeat)
-
     def _order_position(self) -> int:
-        """Returns how many serving instances precede this one by name."""
-        if self.not_ready() is not None or self._store_link.unreachable:
-            return NO_ORDER_POSITION
-        return sum(
-            heartbeat.serving and heartbeat.entry.name < self.entry.name
-            for heartbeat in self.peers.live()
-        )
+        """Returns how many coordinators precede this instance."""
+        position = self.coordinators.order_position(self.entry.name)
+        return NO_ORDER_POSITION if position is None else position
 
     def _on_routes(self, table: forwarding.RouteTable) -> None:
         self.caller_server.configure(table.limits)
-        self.decode_queue.retain_routes({route.name for route in table.routes})
+        self.placer.retain_routes({route.name for route in table.routes})
 
     def _on_ended(self, endpoint: forwarding.Endpoint) -> None:
         self.stats.remove(endpoint)
--- a/packages/seam_node/seam_node/forward/peers.py
+++ b/packages/seam_node/seam_node/forward/peers.py
@@ -12,8 +12,8 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward import catalog_state
-from seam_node.forward import heartbeat_codec
-from seam_node.forward import heartbeats
+from seam_node.forward import datagrams
+from seam_node.forward import messages
 from seam_node.ports import catalog
 
 HEARTBEAT_INTERVAL_S = 0.4
@@ -42,78 +42,71 @@
 class ReceivedHeartbeat:
     """A peer's heartbeat and the time since it was received."""
 
-    heartbeat: heartbeats.Heartbeat
+    heartbeat: messages.Heartbeat
     age_s: float
 
 
 @attrs.define
 class _Peer:
-    heartbeat: heartbeats.Heartbeat
+    heartbeat: messages.Heartbeat
     received_at: float
     logged_lost: bool = False
     """Whether `peer_lost` has been logged for it."""
 
 
-class PeerHeartbeats(asyncio.DatagramProtocol):
+class PeerHeartbeats:
     """Sends this instance's heartbeats and receives those of its peers."""
 
     def __init__(
         self,
         entry: forwarding.InstanceEntry,
         source: catalog.Catalog,
-        describe: Callable[[], heartbeats.Heartbeat],
-        on_heartbeat: Callable[[heartbeats.Heartbeat], None],
+        port: datagrams.DatagramPort,
+        describe: Callable[[], messages.Heartbeat],
         on_unlisted: Callable[[], None],
         now: Callable[[], float],
         log: logs.Log,
     ):
-        """Creates a sender that is not bound yet.
+        """Creates a sender that is not started.
 
         Args:
             entry: this instance.
             source: the store that lists the instances.
+            port: sends the heartbeats.
             describe: returns the heartbeat to send.
-            on_heartbeat: called with each accepted heartbeat of a peer.
             on_unlisted: called when the store lacks this instance's entry.
             now: the clock.
             log: where lost and regained peers are logged.
         """
         self._entry = entry
         self._source = source
+        self._port = port
         self._describe = describe
-        self._on_heartbeat = on_heartbeat
         self._on_unlisted = on_unlisted
         self._silent_since: dict[str, float] = {}
         self._now = now
         self._log = log
         self._listed = catalog_state.Instances()
         self._peers: dict[str, _Peer] = {}
-        self._transport: asyncio.DatagramTransport | None = None
         self._tasks: list[asyncio.Task] = []
         self._scheduled_send: asyncio.Handle | None = None
         """Callback of the event loop that sends the next heartbeat."""
 
     async def start(self) -> None:
-        """Binds the port and starts sending."""
-        loop = asyncio.get_running_loop()
-        address = (self._entry.peers.host, self._entry.peers.port)
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=address
-        )
+        """Starts sending."""
+        self._port.handle(messages.Heartbeat, self.receive)
         self._tasks = [
             asyncio.ensure_future(self._heartbeat_loop()),
             asyncio.ensure_future(self._refresh_entries()),
         ]
 
     async def close(self) -> None:
-        """Stops sending and closes the port."""
+        """Stops sending."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._scheduled_send is not None:
             self._scheduled_send.cancel()
-        if self._transport is not None:
-            self._transport.close()
 
     def received_heartbeats(self) -> list[ReceivedHeartbeat]:
         """Returns the latest heartbeats of live peers, with their ages."""
@@ -124,7 +117,7 @@
             if now - peer.received_at <= self._suspect_after_s()
         ]
 
-    def live(self) -> list[heartbeats.Heartbeat]:
+    def live(self) -> list[messages.Heartbeat]:
         """Returns the latest heartbeats of live peers."""
         return [each.heartbeat for each in self.received_heartbeats()]
 
@@ -138,20 +131,21 @@
                 self._send
             )
 
+    def entry_of(self, name: str) -> forwarding.InstanceEntry | None:
+        """Returns the entry of an instance, or None if it is unknown."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            return peer.heartbeat.entry
+        return self._listed.entries.get(name)
+
     def _send(self) -> None:
         """Sends a heartbeat to every known instance."""
         self._scheduled_send = None
-        if self._transport is None or self._transport.is_closing():
-            return
-        data = heartbeat_codec.encode(self._describe())
-        for address in self._addresses():
-            self._transport.sendto(data, (address.host, address.port))
-
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        """Decodes a datagram and records the heartbeat."""
-        del addr
-        heartbeat = heartbeat_codec.decode(data)
-        if heartbeat is None or heartbeat.entry.name == self._entry.name:
+        self._port.send_all(self._describe(), self._addresses())
+
+    def receive(self, heartbeat: messages.Heartbeat) -> None:
+        """Records a peer's heartbeat."""
+        if heartbeat.entry.name == self._entry.name:
             return
         name = heartbeat.entry.name
         previous = self._peers.get(name)
@@ -164,7 +158,6 @@
             self._log.event("peer_regained", peer=name, incarnation=incarnation)
         self._peers[name] = _Peer(heartbeat, self._now())
         self._silent_since.pop(name, None)
-        self._on_heartbeat(heartbeat)
 
     def _is_stale_incarnation(self, incarnation: int, previous: _Peer) -> bool:
         """Returns whether a heartbeat is from an older incarnation.
@@ -182,9 +175,6 @@
             return False
         return incarnation < previous.heartbeat.entry.incarnation
 
-    def error_received(self, exc: Exception) -> None:
-        """Ignores a failed send; a dead peer is detected by its silence."""
-
     def heartbeat_interval_s(self) -> float:
         """Returns the interval between heartbeats, in seconds."""
         return HEARTBEAT_INTERVAL_S * max(
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/placement.py
@@ -0,0 +1,270 @@
+"""Asks the fleet's placer for places at engines.
+
+An ask is repeated until it is answered. If the placer does not answer, the next
+coordinator is asked, and in the end this instance decides by itself.
+"""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+
+import attrs
+import expression
+
+from seam_model import errors
+from seam_model import forwarding
+from seam_node import logs
+from seam_node.forward import catalog_state
+from seam_node.forward import context
+from seam_node.forward import coordinators
+from seam_node.forward import engine_outcomes
+from seam_node.forward import messages
+from seam_node.forward import placer
+from seam_policy import kv_forecast
+from seam_policy import stream_ledger
+
+ANSWER_TIMEOUT_S = 0.06
+"""Time for an answer; only a queued request takes longer, after a notice."""
+QUEUED_TIMEOUT_S = 0.3
+"""Interval at which an ask that is queued is repeated."""
+MAX_SENDS = 2
+"""Unanswered sends after which a coordinator is suspected."""
+
+Placed = expression.Result[context.Placement, errors.SeamError]
+Send = Callable[[messages.Message, forwarding.InstanceEntry], None]
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """An ask that another instance has not settled yet."""
+
+    answers: asyncio.Queue[messages.PlaceAnswer] = attrs.field(
+        factory=asyncio.Queue
+    )
+
+
+class Placement:
+    """Gets places for this instance's requests and gives them back."""
+
+    def __init__(
+        self,
+        entry: forwarding.InstanceEntry,
+        order: coordinators.Coordinators,
+        own_placer: placer.Placer,
+        ledger: stream_ledger.StreamLedger,
+        endpoints: catalog_state.Endpoints,
+        outcomes: engine_outcomes.EngineOutcomes,
+        send: Send,
+        now: Callable[[], float],
+        log: logs.Log,
+    ):
+        """Creates a client without asks.
+
+        Args:
+            entry: this instance.
+            order: the coordinators.
+            own_placer: decides if this instance coordinates, or if no
+                coordinator answers.
+            ledger: the streams known to this instance, its own included.
+            endpoints: the announced endpoints.
+            outcomes: records how engines do.
+            send: sends a message to an instance.
+            now: the clock.
+            log: the log.
+        """
+        self._entry = entry
+        self._order = order
+        self._placer = own_placer
+        self._ledger = ledger
+        self._endpoints = endpoints
+        self._outcomes = outcomes
+        self._send = send
+        self._now = now
+        self._log = log
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._streams: dict[int, stream_ledger.Stream] = {}
+        """Streams of this instance, by number."""
+
+    async def place(self, ctx: context.ForwardContext) -> Placed:
+        """Waits for a place at a decode engine.
+
+        Errors: `NoEndpoint`, `NoDecodePlace`; the context's `retry_after_s` is
+        set then.
+        """
+        ask = self._make_ask(ctx)
+        answer, decided_by = await self._ask(ask)
+        ctx.late = answer.late
+        if answer.state is messages.PlaceState.NO_ENGINE:
+            return expression.Error(errors.NoEndpoint(ctx.service.name))
+        if answer.state is not messages.PlaceState.GRANTED:
+            ctx.retry_after_s = answer.retry_after_s
+            return expression.Error(errors.NoDecodePlace(answer.engines))
+        decode = self._endpoints.by_key(ctx.service.name, answer.decode)
+        if decode is None:
+            self.end(ask.number, answer.decode, messages.Outcome.UNKNOWN)
+            return expression.Error(errors.NoEndpoint(ctx.service.name))
+        size = kv_forecast.StreamSize(
+            ask.prompt_tokens, answer.expected_tokens, ask.max_tokens
+        )
+        self._record(ask.number, decode.key, size, answer.queued_s)
+        return expression.Ok(
+            context.Placement(
+                ask.number,
+                decode,
+                self._endpoints.by_key(ctx.service.name, answer.prefill),
+                answer.queued_s,
+                decided_by,
+            )
+        )
+
+    def started(self, number: int) -> None:
+        """Notes that the engine generates now, which may be late."""
+        stream = self._streams.get(number)
+        if stream is not None:
+            self._record(number, stream.engine, stream.size, 0.0)
+
+    def end(self, number: int, engine: str, outcome: messages.Outcome) -> None:
+        """Gives a place back."""
+        self._streams.pop(number, None)
+        ended = messages.StreamEnded(
+            self._entry.name, self._entry.incarnation, number, engine, outcome
+        )
+        self._placer.ended(ended)
+        self._tell(ended)
+
+    def prefill_ended(self, ended: messages.PrefillEnded) -> None:
+        """Records how a prefill went and tells the coordinators."""
+        self._outcomes.add_prefill(ended)
+        self._tell(ended)
+
+    def stream_id(self, number: int) -> stream_ledger.StreamId:
+        """Returns the id of one of this instance's streams."""
+        return stream_ledger.StreamId(self._entry.name, number)
+
+    def streams(self) -> tuple[messages.StreamRow, ...]:
+        """Returns this instance's streams, for its report."""
+        now = self._now()
+        return tuple(
+            messages.StreamRow(
+                number, stream.engine, stream.size, now - stream.starts_at
+            )
+            for number, stream in self._streams.items()
+        )
+
+    def on_answer(self, answer: messages.PlaceAnswer) -> None:
+        """Handles a placer's answer; a late one gives its place back."""
+        self._order.trust(answer.placer)
+        pending = self._pending.get(answer.number)
+        if pending is not None:
+            pending.answers.put_nowait(answer)
+        elif (
+            answer.state is messages.PlaceState.GRANTED
+            and answer.number not in self._streams
+        ):
+            self.end(answer.number, answer.decode, messages.Outcome.UNKNOWN)
+
+    def _make_ask(self, ctx: context.ForwardContext) -> messages.PlaceAsk:
+        prompt = ctx.req.prompt
+        deadline_s = ctx.req.deadline_s
+        return messages.PlaceAsk(
+            self._entry.name,
+            self._entry.incarnation,
+            next(self._numbers),
+            ctx.req.id,
+            ctx.service.name,
+            ctx.route.name,
+            ctx.route.rank,
+            prompt.tokens,
+            prompt.max_new_tokens,
+            prompt.expected_new_tokens,
+            ctx.age_s(),
+            -1.0 if deadline_s is None else deadline_s,
+            ctx.route.timeout_s,
+            ctx.route.target_s,
+            ctx.route.patience_s,
+            self._entry.data_centre,
+            tuple(ctx.failed_keys),
+            ctx.only_keys(),
+        )
+
+    async def _ask(
+        self, ask: messages.PlaceAsk
+    ) -> tuple[messages.PlaceAnswer, str]:
+        """Returns the first decision and the name of who made it."""
+        for entry in self._order.responsive():
+            if entry.name == self._entry.name:
+                break
+            answer = await self._ask_other(ask, entry)
+            if answer is not None:
+                return answer, entry.name
+        return await self._placer.place(ask), self._entry.name
+
+    async def _ask_other(
+        self, ask: messages.PlaceAsk, entry: forwarding.InstanceEntry
+    ) -> messages.PlaceAnswer | None:
+        """Asks one coordinator; None if it does not answer."""
+        pending = self._pending[ask.number] = _Pending()
+        sent_at = self._now()
+        try:
+            sends = 0
+            while sends < MAX_SENDS:
+                age_s = ask.age_s + self._now() - sent_at
+                self._send(attrs.evolve(ask, age_s=age_s), entry)
+                sends += 1
+                answer = await _next_answer(pending, ANSWER_TIMEOUT_S)
+                while (
+                    answer is not None
+                    and answer.state is messages.PlaceState.QUEUED
+                ):
+                    sends = 0
+                    answer = await _next_answer(pending, QUEUED_TIMEOUT_S)
+                if answer is not None:
+                    return answer
+        except asyncio.CancelledError:
+            self._withdraw(ask, entry)
+            raise
+        finally:
+            del self._pending[ask.number]
+        self._order.suspect(entry.name)
+        self._withdraw(ask, entry)
+        return None
+
+    def _withdraw(
+        self, ask: messages.PlaceAsk, entry: forwarding.InstanceEntry
+    ) -> None:
+        ended = messages.StreamEnded(
+            ask.holder,
+            ask.incarnation,
+            ask.number,
+            "",
+            messages.Outcome.UNKNOWN,
+        )
+        self._send(ended, entry)
+
+    def _record(
+        self,
+        number: int,
+        engine: str,
+        size: kv_forecast.StreamSize,
+        queued_s: float,
+    ) -> None:
+        now = self._now()
+        stream = stream_ledger.Stream(engine, size, now + queued_s)
+        self._streams[number] = stream
+        self._ledger.add(self.stream_id(number), stream, now)
+
+    def _tell(self, message: messages.Message) -> None:
+        for entry in self._order.responsive():
+            if entry.name != self._entry.name:
+                self._send(message, entry)
+
+
+async def _next_answer(
+    pending: _Pending, timeout_s: float
+) -> messages.PlaceAnswer | None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await pending.answers.get()
+    except TimeoutError:
+        return None
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/placer.py
@@ -0,0 +1,444 @@
+"""Grants places at engines to the requests of all instances.
+
+One instance of the fleet does this for all others, so that it knows every
+stream at once; see `coordinators`. It does no I/O.
+"""
+
+import asyncio
+from collections.abc import Callable
+import math
+
+import attrs
+
+from seam_model import forwarding
+from seam_node.forward import engine_access
+from seam_node.forward import messages
+from seam_node.forward import prefill_engines
+from seam_node.forward import workload
+from seam_policy import decode_choice
+from seam_policy import kv_forecast
+from seam_policy import output_length
+from seam_policy import place_queue
+from seam_policy import rendezvous
+from seam_policy import retry_after_schedule
+from seam_policy import returning_callers
+from seam_policy import stage_balance
+from seam_policy import stream_ledger
+
+SERVE_INTERVAL_S = 0.025
+"""Interval at which waiting requests are tried again."""
+FULL_BACKOFF_S = 0.08
+"""Back-off after an engine refused to hold a place."""
+MAX_RETRY_AFTER_SHARE = 0.33
+"""Upper bound of Retry-After, as a share of the request's remaining time."""
+LATE_MAX_PREFILL_QUEUE_S = 0.15
+"""Queue of a prefill engine beyond which late requests wait."""
+LAST_CHANCE_S = 0.5
+"""Remaining wait from which a late request may take the last capacity."""
+IN_PLACE_PREFILL_SPEED = 0.5
+"""Speed of a prefill at a decode engine, relative to a prefill engine."""
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """A queued request."""
+
+    ask: messages.PlaceAsk
+    limits: place_queue.Limits
+    size: kv_forecast.StreamSize
+    answered: asyncio.Future
+    ticket: place_queue.Ticket
+
+
+@attrs.frozen
+class _Engines:
+    """The decode engines that a request may use."""
+
+    spec: forwarding.EngineSpec
+    allowed: tuple[forwarding.Endpoint, ...]
+
+
+class Placer:
+    """Queues requests for places and grants them in order."""
+
+    def __init__(
+        self,
+        name: str,
+        access: engine_access.EngineAccess,
+        ledger: stream_ledger.StreamLedger,
+        prefills: prefill_engines.PrefillEngines,
+        engine_spec: Callable[[str], forwarding.EngineSpec | None],
+        load: workload.WorkloadEstimate,
+        now: Callable[[], float],
+    ):
+        """Creates a placer with empty queues.
+
+        Args:
+            name: name of this instance.
+            access: the engines, their statistics and the log.
+            ledger: the streams of all instances.
+            prefills: the prefill engines and their queues.
+            engine_spec: returns the engines' capacity of a service.
+            load: average size and output rate of requests.
+            now: the clock.
+        """
+        self._name = name
+        self._endpoints = access.endpoints
+        self._stats = access.stats
+        self._log = access.log
+        self._ledger = ledger
+        self._prefills = prefills
+        self._engine_spec = engine_spec
+        self._load = load
+        self._now = now
+        self._queues: dict[str, place_queue.PlaceQueue] = {}
+        self._waiting: dict[tuple[str, place_queue.Ticket], _Waiting] = {}
+        self._full_until: dict[str, float] = {}
+        self._prefill_of: dict[stream_ledger.StreamId, str] = {}
+        """Keys of the prefill engines of the streams granted here."""
+        self._output_lengths = output_length.OutputLengthEstimator()
+        self._returning = returning_callers.ReturningCallers()
+        self._return_times = retry_after_schedule.RetryAfterSchedule()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        """Returns the number of queued requests."""
+        return len(self._waiting)
+
+    async def place(self, ask: messages.PlaceAsk) -> messages.PlaceAnswer:
+        """Waits for a place; cancel the call to leave the queue."""
+        waiting = self._join(ask)
+        try:
+            self._serve()
+            return await waiting.answered
+        finally:
+            self._leave(waiting)
+
+    def ended(self, ended: messages.StreamEnded) -> None:
+        """Frees the place of a stream and serves the queues."""
+        stream_id = stream_ledger.StreamId(ended.holder, ended.number)
+        self._ledger.remove(stream_id)
+        prefill = self._prefill_of.pop(stream_id, "")
+        if prefill:
+            # The prompt was not prefilled, or the message about it was lost.
+            self._prefills.complete(prefill, stream_id)
+        if ended.outcome is messages.Outcome.FULL:
+            self._full_until[ended.engine] = self._now() + FULL_BACKOFF_S
+        elif ended.outcome is messages.Outcome.SERVED:
+            self._full_until.pop(ended.engine, None)
+        self._serve()
+
+    def retain_routes(self, route_names: set[str]) -> None:
+        """Drops the statistics of all routes but these."""
+        self._returning.retain(route_names)
+
+    def close(self) -> None:
+        """Stops serving."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # Queue
+
+    def _join(self, ask: messages.PlaceAsk) -> _Waiting:
+        now = self._now()
+        arrived_at = now - ask.age_s
+        expected_tokens = self._output_lengths.expected_tokens(
+            ask.hinted_tokens, ask.max_tokens
+        )
+        self._load.record_arrival(
+            ask.prompt_tokens, kv_forecast.mean_tokens(expected_tokens)
+        )
+        late = self._returning.is_returning(
+            ask.route,
+            ask.deadline_s if ask.deadline_s >= 0 else None,
+            ask.timeout_s,
+        )
+        queue = self._queues.setdefault(ask.service, place_queue.PlaceQueue())
+        waiting = _Waiting(
+            ask,
+            place_queue.Limits(arrived_at, ask.target_s, ask.patience_s),
+            kv_forecast.StreamSize(
+                ask.prompt_tokens, expected_tokens, ask.max_tokens
+            ),
+            asyncio.get_running_loop().create_future(),
+            queue.join(ask.rank, late, arrived_at),
+        )
+        self._waiting[ask.service, waiting.ticket] = waiting
+        return waiting
+
+    def _leave(self, waiting: _Waiting) -> None:
+        service = waiting.ask.service
+        if self._waiting.pop((service, waiting.ticket), None) is None:
+            return
+        self._queues[service].leave(waiting.ticket)
+
+    def _answer(self, waiting: _Waiting, answer: messages.PlaceAnswer) -> None:
+        self._leave(waiting)
+        if not waiting.answered.done():
+            waiting.answered.set_result(answer)
+
+    def _serve(self) -> None:
+        """Grants as many places as there are, and refuses the hopeless."""
+        now = self._now()
+        for service, queue in self._queues.items():
+            if queue:
+                self._serve_queue(service, queue, now)
+        if self._waiting and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(SERVE_INTERVAL_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._serve()
+
+    def _serve_queue(
+        self, service: str, queue: place_queue.PlaceQueue, now: float
+    ) -> None:
+        blocked = {False: False, True: False}
+        for ticket in queue:
+            waiting = self._waiting[service, ticket]
+            prefill_s = self._prefill_s(waiting, now)
+            if not ticket.late and not waiting.limits.can_be_in_time(
+                now, prefill_s
+            ):
+                self._make_late(service, queue, waiting)
+                ticket = waiting.ticket
+            if not blocked[ticket.late]:
+                blocked[ticket.late] = not self._try(waiting, now)
+        self._refuse_hopeless(service, queue, now)
+
+    def _make_late(
+        self,
+        service: str,
+        queue: place_queue.PlaceQueue,
+        waiting: _Waiting,
+    ) -> None:
+        del self._waiting[service, waiting.ticket]
+        waiting.ticket = queue.make_late(waiting.ticket)
+        self._waiting[service, waiting.ticket] = waiting
+
+    def _refuse_hopeless(
+        self, service: str, queue: place_queue.PlaceQueue, now: float
+    ) -> None:
+        for ahead, ticket in enumerate(queue):
+            if not ticket.late:
+                continue
+            waiting = self._waiting[service, ticket]
+            engines = self._engines(waiting.ask, now)
+            interval_s = self._interval_s(engines)
+            time_left_s = min(
+                waiting.limits.time_left_s(now, self._prefill_s(waiting, now)),
+                self._remaining_s(waiting, now),
+            )
+            if place_queue.refuse_at_once(ahead, interval_s, time_left_s):
+                self._refuse(waiting, engines, interval_s, now)
+
+    def _refuse(
+        self,
+        waiting: _Waiting,
+        engines: _Engines | None,
+        interval_s: float,
+        now: float,
+    ) -> None:
+        max_retry_s = MAX_RETRY_AFTER_SHARE * self._remaining_s(waiting, now)
+        self._answer(
+            waiting,
+            messages.PlaceAnswer(
+                self._name,
+                waiting.ask.number,
+                messages.PlaceState.FULL,
+                late=waiting.ticket.late,
+                retry_after_s=self._return_times.assign(
+                    now, interval_s, max_retry_s
+                ),
+                engines=len(engines.allowed) if engines else 0,
+            ),
+        )
+
+    # Places
+
+    def _try(self, waiting: _Waiting, now: float) -> bool:
+        """Grants a place if there is one; returns whether it was answered."""
+        ask = waiting.ask
+        engines = self._engines(ask, now)
+        if engines is None:
+            answer = messages.PlaceAnswer(
+                self._name, ask.number, messages.PlaceState.NO_ENGINE
+            )
+            self._answer(waiting, answer)
+            return True
+        required = kv_forecast.DemandProfile(
+            1,
+            kv_forecast.stream_demand(
+                waiting.size, 0.0, self._load.output_tokens_s
+            ),
+        )
+        candidates = self._candidates(ask, engines, now)
+        ordered = decode_choice.order(candidates, required, now)
+        if waiting.ticket.late:
+            ordered = self._choose_late(waiting, ordered, required, now)
+        if not ordered:
+            return False
+        decode = next(
+            each for each in engines.allowed if each.key == ordered[0].key
+        )
+        self._grant(waiting, decode, ordered[0], now)
+        return True
+
+    def _choose_late(
+        self,
+        waiting: _Waiting,
+        ordered: list[decode_choice.DecodeCandidate],
+        required: kv_forecast.DemandProfile,
+        now: float,
+    ) -> list[decode_choice.DecodeCandidate]:
+        """Returns the engines that a late request may use."""
+        ask = waiting.ask
+        plan = self._prefills.plan(ask.service, ask.prompt_tokens, now)
+        prefill_s = self._in_place_s(ask) if plan is None else plan.total_s
+        time_left_s = waiting.limits.time_left_s(now, prefill_s)
+        if time_left_s < LAST_CHANCE_S:
+            return ordered
+        if plan is not None and plan.queued_s > LATE_MAX_PREFILL_QUEUE_S:
+            return []
+        spare = required + self._typical()
+        return [each for each in ordered if each.fits(spare)]
+
+    def _typical(self) -> kv_forecast.DemandProfile:
+        """Returns the demand of an average stream that starts now."""
+        load = self._load.current()
+        size = kv_forecast.StreamSize(
+            round(load.prompt_tokens),
+            round(load.output_tokens),
+            round(2 * load.output_tokens),
+        )
+        return kv_forecast.DemandProfile(
+            1, kv_forecast.stream_demand(size, 0.0, load.output_tokens_s)
+        )
+
+    def _grant(
+        self,
+        waiting: _Waiting,
+        decode: forwarding.Endpoint,
+        candidate: decode_choice.DecodeCandidate,
+        now: float,
+    ) -> None:
+        ask = waiting.ask
+        plan = self._prefills.plan(
+            ask.service, ask.prompt_tokens, now, decode.data_centre
+        )
+        prefill_s = self._in_place_s(ask) if plan is None else plan.total_s
+        stream_id = stream_ledger.StreamId(ask.holder, ask.number)
+        if plan is not None:
+            self._prefill_of[stream_id] = plan.endpoint.key
+            self._prefills.enqueue(plan.endpoint, stream_id, ask.prompt_tokens)
+        self._ledger.add(
+            stream_id,
+            stream_ledger.Stream(decode.key, waiting.size, now + prefill_s),
+            now,
+        )
+        self._log_grant(waiting, decode, candidate, plan, now)
+        self._answer(
+            waiting,
+            messages.PlaceAnswer(
+                self._name,
+                ask.number,
+                messages.PlaceState.GRANTED,
+                decode=decode.key,
+                prefill="" if plan is None else plan.endpoint.key,
+                queued_s=0.0 if plan is None else plan.queued_s,
+                expected_tokens=waiting.size.expected_tokens,
+                late=waiting.ticket.late,
+                engines=1,
+            ),
+        )
+
+    def _engines(self, ask: messages.PlaceAsk, now: float) -> _Engines | None:
+        """Returns the usable decode engines; None if there are none."""
+        spec = self._engine_spec(ask.service)
+        excluded = self._stats.excluded(now)
+        allowed = [
+            each
+            for each in self._endpoints.usable(ask.service)
+            if each.stage is forwarding.Stage.DECODE
+            and each.key not in excluded
+            and (not ask.only or each.key in ask.only)
+        ]
+        if spec is None or not allowed:
+            return None
+        others = [each for each in allowed if each.key not in ask.avoid]
+        preferred = self._stats.preferred(others or allowed, now)
+        return _Engines(spec, tuple(preferred))
+
+    def _candidates(
+        self, ask: messages.PlaceAsk, engines: _Engines, now: float
+    ) -> list[decode_choice.DecodeCandidate]:
+        seed = ask.request_id.encode()
+        return [
+            decode_choice.DecodeCandidate(
+                key=each.key,
+                slots=engines.spec.slots,
+                kv_tokens=engines.spec.kv_tokens,
+                used=self._ledger.profile(each.key, now),
+                local=each.data_centre == ask.data_centre,
+                full_until=self._full_until.get(each.key, 0.0),
+                failure_share=self._stats.call(each).failure_share(now),
+                jitter=rendezvous.uniform(seed, each.key),
+            )
+            for each in engines.allowed
+        ]
+
+    # Times
+
+    def _prefill_s(self, waiting: _Waiting, now: float) -> float:
+        """Returns the expected duration of a prefill that is sent now."""
+        ask = waiting.ask
+        plan = self._prefills.plan(ask.service, ask.prompt_tokens, now)
+        return self._in_place_s(ask) if plan is None else plan.total_s
+
+    def _in_place_s(self, ask: messages.PlaceAsk) -> float:
+        speed = IN_PLACE_PREFILL_SPEED * self._load.current().prefill_tokens_s
+        return ask.prompt_tokens / speed
+
+    def _interval_s(self, engines: _Engines | None) -> float:
+        """Returns the average time between two places that become free."""
+        if engines is None:
+            return math.inf
+        size = stage_balance.EngineSize(
+            engines.spec.slots, engines.spec.kv_tokens
+        )
+        rate = stage_balance.decode_rate(
+            len(engines.allowed), size, self._load.current()
+        )
+        return 1.0 / rate
+
+    def _remaining_s(self, waiting: _Waiting, now: float) -> float:
+        """Returns the time until the request's deadline."""
+        ask = waiting.ask
+        allowed_s = ask.timeout_s
+        if ask.deadline_s >= 0:
+            allowed_s = min(allowed_s, ask.deadline_s)
+        return max(0.0, waiting.limits.arrived_at + allowed_s - now)
+
+    def _log_grant(
+        self,
+        waiting: _Waiting,
+        decode: forwarding.Endpoint,
+        candidate: decode_choice.DecodeCandidate,
+        plan: prefill_engines.PrefillPlan | None,
+        now: float,
+    ) -> None:
+        self._log.event(
+            "place_granted",
+            request=waiting.ask.request_id,
+            holder=waiting.ask.holder,
+            endpoint=decode.key,
+            prefill="" if plan is None else plan.endpoint.key,
+            streams=candidate.used.slots,
+            used_tokens=round(candidate.used.peak()),
+            kv_tokens=candidate.kv_tokens,
+            failing=round(candidate.failure_share, 2),
+            late=waiting.ticket.late,
+            queued=len(self._waiting),
+            waited_s=round(now - waiting.limits.arrived_at, 4),
+        )
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/prefill_engines.py
@@ -0,0 +1,98 @@
+"""Selects prefill engines by their estimated queues."""
+
+from collections.abc import Callable
+from collections.abc import Container
+
+import attrs
+
+from seam_model import forwarding
+from seam_node.forward import engine_access
+from seam_policy import prefill_choice
+from seam_policy import stream_ledger
+
+
+@attrs.frozen
+class PrefillPlan:
+    """The prefill engine for a prompt and the expected times."""
+
+    endpoint: forwarding.Endpoint
+    queued_s: float
+    """Expected wait behind other prompts."""
+    total_s: float
+    """Expected time until the prompt's KV cache can be fetched."""
+
+
+class PrefillEngines:
+    """The prefill engines of all services, as seen by this instance."""
+
+    def __init__(
+        self,
+        access: engine_access.EngineAccess,
+        one_way_delay_s: Callable[[str], float],
+        now: Callable[[], float],
+    ):
+        """Takes the engines, the delay to a data centre and the clock."""
+        self._endpoints = access.endpoints
+        self._stats = access.stats
+        self._one_way_delay_s = one_way_delay_s
+        self._now = now
+
+    def plan(
+        self,
+        service: str,
+        tokens: int,
+        now: float,
+        decode_data_centre: str = "",
+        failed: Container[str] = (),
+    ) -> PrefillPlan | None:
+        """Returns the engine that should finish first, or None without one.
+
+        Args:
+            service: the model service.
+            tokens: length of the prompt.
+            now: current time.
+            decode_data_centre: data centre of the decode engine; empty if it
+                is not known yet.
+            failed: keys of engines that must not be used.
+        """
+        excluded = self._stats.excluded(now)
+        engines = {
+            each.key: each
+            for each in self._endpoints.usable(service)
+            if each.stage is forwarding.Stage.PREFILL
+            and each.key not in failed
+            and each.key not in excluded
+        }
+        candidates = [
+            prefill_choice.PrefillCandidate(
+                each.key,
+                self._one_way_delay_s(each.data_centre),
+                each.data_centre == (decode_data_centre or each.data_centre),
+                self._stats.prefill(each),
+                self._stats.call(each).failure_share(now),
+            )
+            for each in self._stats.preferred(engines.values(), now)
+        ]
+        chosen = prefill_choice.choose(candidates, tokens, now)
+        if chosen is None:
+            return None
+        return PrefillPlan(
+            engines[chosen.key],
+            chosen.record.queued_s(now),
+            prefill_choice.expected_s(chosen, tokens, now),
+        )
+
+    def enqueue(
+        self,
+        engine: forwarding.Endpoint,
+        stream_id: stream_ledger.StreamId,
+        tokens: int,
+    ) -> None:
+        """Adds the prompt of a stream to the queue of an engine."""
+        self._stats.prefill(engine).enqueue(stream_id, tokens, self._now())
+
+    def complete(self, engine: str, stream_id: stream_ledger.StreamId) -> None:
+        """Removes the prompt of a stream from the queue of an engine."""
+        record = self._stats.existing_prefill(engine)
+        if record is not None:
+            record.complete(stream_id, self._now())
--- a/packages/seam_node/seam_node/forward/relay.py
+++ b/packages/seam_node/seam_node/forward/relay.py
@@ -1,6 +1,7 @@
 """Relays an endpoint's event stream to the caller."""
 
 from collections.abc import Awaitable
+from collections.abc import Callable
 
 from seam_model import forwarding
 from seam_node.forward import context
@@ -13,9 +14,12 @@
 class StreamRelay(exchange.Receiver):
     """Forwards successful answers as they arrive and buffers all others."""
 
-    def __init__(self, ctx: context.ForwardContext):
-        """Takes the context of the request."""
+    def __init__(
+        self, ctx: context.ForwardContext, on_progress: Callable[[], None]
+    ):
+        """Takes the request's context and a callback for forwarded bytes."""
         self._ctx = ctx
+        self._on_progress = on_progress
         self._head: forwarding.AnswerHead | None = None
         self._buffered: list[bytes] = []
 
@@ -63,6 +67,7 @@
             ctx.longest_gap_s = max(ctx.longest_gap_s, now - ctx.last_byte_at)
         ctx.last_byte_at = now
         ctx.events += chunk.count(EVENT_END)
+        self._on_progress()
         return ctx.answer.write(chunk)
 
 
@@ -72,9 +77,14 @@
     A stream that breaks off can thus be resumed at another engine.
     """
 
-    def __init__(self, ctx: context.ForwardContext, codec: wire.Wire):
-        """Takes the context of the request and the codec for event ids."""
-        super().__init__(ctx)
+    def __init__(
+        self,
+        ctx: context.ForwardContext,
+        on_progress: Callable[[], None],
+        codec: wire.Wire,
+    ):
+        """Takes, besides, the codec for event ids."""
+        super().__init__(ctx, on_progress)
         self._codec = codec
         self._partial = b""
 
@@ -104,8 +114,12 @@
         return True
 
 
-def make_relay(ctx: context.ForwardContext, codec: wire.Wire) -> StreamRelay:
+def make_relay(
+    ctx: context.ForwardContext,
+    on_progress: Callable[[], None],
+    codec: wire.Wire,
+) -> StreamRelay:
     """Returns the relay for a request's route."""
     if ctx.route.resumable:
-        return EventRelay(ctx, codec)
-    return StreamRelay(ctx)
+        return EventRelay(ctx, on_progress, codec)
+    return StreamRelay(ctx, on_progress)
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -67,7 +67,6 @@
         access: engine_access.EngineAccess,
         load: workload.WorkloadEstimate,
         order_position: Callable[[], int],
-        notify_peers: Callable[[], None],
         now: Callable[[], float],
     ):
         """Creates a controller without a lease; see `set_lease`.
@@ -78,7 +77,6 @@
             load: average size and output rate of requests.
             order_position: returns how many instances precede this one in the
                 succession for sending orders; 0 for the first.
-            notify_peers: sends a heartbeat to the peers immediately.
             now: the clock.
         """
         self._routes = routes
@@ -88,7 +86,6 @@
         self._client = access.client
         self._codec = access.codec
         self._order_position = order_position
-        self._notify_peers = notify_peers
         self._now = now
         self._log = access.log
         self._lease: lease.LeaseController | None = None
@@ -203,7 +200,9 @@
         size = stage_balance.EngineSize(
             spec.engine.slots, spec.engine.kv_tokens
         )
-        target = stage_balance.target_split(current, size, self._load.current())
+        target = stage_balance.target_split(
+            current, size, self._load.current(), self._load.is_known()
+        )
         if target.prefill == current.prefill:
             return None
         donors, stage = (
@@ -266,7 +265,6 @@
         self._stats.exclude(
             change.endpoint.key, self._now() + STAGE_CHANGE_MAX_S
         )
-        self._notify_peers()
         order = wire.StageOrder(change.stage, fence, report.accepted_orders)
         done = await exchange.call_endpoint(
             self._client,
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/stream_reports.py
@@ -0,0 +1,59 @@
+"""Reports this instance's streams to the coordinators at an interval."""
+
+import asyncio
+from collections.abc import Callable
+
+from seam_model import forwarding
+from seam_node.forward import coordinators
+from seam_node.forward import messages
+
+INTERVAL_S = 0.5
+IDLE_INTERVALS = 8
+"""Intervals between two reports of an instance without streams."""
+
+
+class StreamReports:
+    """Sends `StreamReport` messages, which repair what was lost before."""
+
+    def __init__(
+        self,
+        entry: forwarding.InstanceEntry,
+        order: coordinators.Coordinators,
+        describe: Callable[[], messages.StreamReport],
+        send: Callable[[messages.Message, forwarding.InstanceEntry], None],
+    ):
+        """Takes this instance, the coordinators and the report to send."""
+        self._entry = entry
+        self._order = order
+        self._describe = describe
+        self._send = send
+        self._skipped = IDLE_INTERVALS
+        self._had_streams = False
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts reporting."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def close(self) -> None:
+        """Stops reporting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            self._report()
+            await asyncio.sleep(INTERVAL_S)
+
+    def _report(self) -> None:
+        report = self._describe()
+        had_streams, self._had_streams = self._had_streams, bool(report.streams)
+        is_idle = not report.streams and not had_streams
+        self._skipped += 1
+        if is_idle and self._skipped < IDLE_INTERVALS:
+            return
+        self._skipped = 0
+        for entry in self._order.responsive():
+            if entry.name != self._entry.name:
+                self._send(report, entry)
--- a/packages/seam_policy/seam_policy/estimate.py
+++ b/packages/seam_policy/seam_policy/estimate.py
@@ -1,10 +1,16 @@
 """Online estimators of means, deviations and rates."""
 
+import collections
+from collections.abc import Iterable
 import math
+import statistics
+
+import attrs
 
 _DEFAULT_GAIN = 0.125
 _SPREAD_GAIN = 0.25
 _P95_DEVIATIONS = 2.0
+_MEDIAN_SAMPLES = 15
 _PEAK_INCREASE_GAIN = 0.5
 _PEAK_DECREASE_GAIN = 0.01
 
@@ -51,6 +57,49 @@
         return self.value + deviations * self.spread
 
 
+@attrs.frozen
+class Mean:
+    """A mean and the number of samples that it stands for."""
+
+    value: float = 0.0
+    weight: float = 0.0
+
+
+NO_SAMPLES = Mean()
+
+
+class RunningMean:
+    """Mean of the first samples; later ones are weighted exponentially.
+
+    Unlike `Ewma` it is close to the true mean after a few samples.
+    """
+
+    def __init__(self, gain: float):
+        """Starts without samples; `gain` is the weight of a late sample."""
+        self._max_weight = 1.0 / gain
+        self.mean = Mean()
+
+    def add(self, sample: float) -> None:
+        """Adds a sample; a non-finite one is ignored."""
+        if not math.isfinite(sample):
+            return
+        weight = min(self.mean.weight + 1, self._max_weight)
+        value = self.mean.value
+        self.mean = Mean(value + (sample - value) / weight, weight)
+
+
+def pooled_mean(means: Iterable[Mean], expected: float) -> float:
+    """Returns the weighted mean of several means.
+
+    `expected` counts as one sample, so that it matters only at the start.
+    """
+    total, weight = expected, 1.0
+    for each in means:
+        total += each.value * each.weight
+        weight += each.weight
+    return total / weight
+
+
 class RateEstimate:
     """Estimates a rate, in units per second, from work and its duration."""
 
@@ -105,6 +154,36 @@
         self.rate += gain * (sample - self.rate)
 
 
+class MedianRate:
+    """Median rate of the latest pieces of work.
+
+    Single pieces may be much faster, as a part of their result was cached, or
+    slower, as they queued.
+    """
+
+    def __init__(self, initial: float):
+        """Starts at `initial` units per second until the first sample."""
+        self._samples: collections.deque[float] = collections.deque(
+            maxlen=_MEDIAN_SAMPLES
+        )
+        self.rate = initial
+
+    def __len__(self) -> int:
+        """Returns the number of samples that count."""
+        return len(self._samples)
+
+    def add(self, units: float, seconds: float) -> None:
+        """Adds a sample of one completed piece of work."""
+        if units <= 0 or seconds <= 0:
+            return
+        self._samples.append(units / seconds)
+        self.rate = statistics.median(self._samples)
+
+    def mean(self) -> Mean:
+        """Returns the rate and the number of samples."""
+        return Mean(self.rate, len(self._samples))
+
+
 class EngineEstimates:
     """Speed estimates of one engine and its links."""
 
--- a/packages/seam_policy/seam_policy/kv_forecast.py
+++ b/packages/seam_policy/seam_policy/kv_forecast.py
@@ -16,7 +16,7 @@
 """Times ahead for which the demand is forecast."""
 LOG_LENGTH_SIGMA = 0.38
 """Standard deviation of the log of an output's length about its estimate."""
-MARGIN_DEVIATIONS = 2.5
+MARGIN_DEVIATIONS = 2.0
 """Standard deviations of the demand that are kept free as a margin."""
 _SQRT_2 = math.sqrt(2.0)
 
@@ -95,6 +95,11 @@
         return max(demand.upper_bound() for demand in self.demands)
 
 
+def mean_tokens(expected_tokens: float) -> float:
+    """Returns the mean length of outputs with an expected (median) length."""
+    return expected_tokens * math.exp(LOG_LENGTH_SIGMA**2 / 2)
+
+
 def _survival(tokens: float, size: StreamSize) -> float:
     """Returns the probability that an output is longer than `tokens`."""
     if tokens >= size.max_tokens:
--- a/packages/seam_policy/seam_policy/stage_balance.py
+++ b/packages/seam_policy/seam_policy/stage_balance.py
@@ -5,10 +5,14 @@
 the other refuses requests.
 """
 
+import math
+
 import attrs
 
-MAX_PREFILL_UTILIZATION = 0.7
+MAX_PREFILL_UTILIZATION = 0.9
 """Utilization of prefill engines above which prompts queue too long."""
+MIN_ASSUMED_PREFILL_SHARE = 0.2
+"""Share of prefill engines that is kept while the load is only assumed."""
 MAX_KV_UTILIZATION = 0.8
 """Utilization of decode engines' KV memory above which streams are refused."""
 MIN_RATE_GAIN = 1.05
@@ -48,32 +52,41 @@
         return self.prefill + self.decode
 
 
-def rate(split: StageSplit, size: EngineSize, load: Workload) -> float:
-    """Returns the streams per second that both stages can serve."""
+def decode_rate(count: int, size: EngineSize, load: Workload) -> float:
+    """Returns the streams per second that some decode engines can serve."""
     mean_tokens = load.prompt_tokens + load.output_tokens / 2
     streams_per_engine = min(
         size.slots, MAX_KV_UTILIZATION * size.kv_tokens / mean_tokens
     )
     stream_s = load.output_tokens / load.output_tokens_s
-    decode_rate = split.decode * streams_per_engine / stream_s
+    return count * streams_per_engine / stream_s
+
+
+def rate(split: StageSplit, size: EngineSize, load: Workload) -> float:
+    """Returns the streams per second that both stages can serve."""
     prefill_s = load.prompt_tokens / load.prefill_tokens_s
     prefill_rate = split.prefill * MAX_PREFILL_UTILIZATION / prefill_s
-    return min(decode_rate, prefill_rate)
+    return min(decode_rate(split.decode, size, load), prefill_rate)
 
 
 def target_split(
-    current: StageSplit, size: EngineSize, load: Workload
+    current: StageSplit, size: EngineSize, load: Workload, measured: bool = True
 ) -> StageSplit:
     """Returns the split to move to; the current one if the gain is too small.
 
     A stage without an engine always gets one. A single engine becomes a decode
-    engine, because decode engines can also prefill prompts themselves.
+    engine, because decode engines can also prefill prompts themselves. If the
+    load is assumed rather than measured, some engines stay in each stage.
     """
     if current.total < 2:
         return StageSplit(0, current.total)
+    min_prefill = 1
+    if not measured:
+        share = MIN_ASSUMED_PREFILL_SHARE * current.total
+        min_prefill = min(math.ceil(share), current.total - 1)
     splits = [
         StageSplit(count, current.total - count)
-        for count in range(1, current.total)
+        for count in range(min_prefill, current.total)
     ]
     best = max(
         splits, key=lambda split: (rate(split, size, load), split.prefill)
