Test, log and document the placer

The policy's test of a large split follows the utilization of prefill engines, which is 0.9 now that the queue of prompts is known: (5, 17) instead of (6, 16) for 22 engines.

--- a/packages/seam_node/seam_node/forward/placement.py
+++ b/packages/seam_node/seam_node/forward/placement.py
@@ -108,6 +108,17 @@
             ask.prompt_tokens, answer.expected_tokens, ask.max_tokens
         )
         self._record(ask.number, decode.key, size, answer.queued_s)
+        self._log.event(
+            "decode_placed",
+            request=ctx.req.id,
+            endpoint=decode.key,
+            prefill=answer.prefill,
+            placer=decided_by,
+            number=ask.number,
+            queued_s=round(answer.queued_s, 4),
+            waited_s=round(ctx.age_s(), 4),
+            left_s=round(ctx.remaining_s(), 3),
+        )
         return expression.Ok(
             context.Placement(
                 ask.number,
--- a/tests/seam_node/controllers/test_lease.py
+++ b/tests/seam_node/controllers/test_lease.py
@@ -11,7 +11,7 @@
 WAIT_S = lease.DURATION_S + ORDER_TIMEOUT_S
 
 
-def make(platform, holder, incarnation=1):
+def make(platform, holder, incarnation=1, takes_over_own=False):
     clock = claim_fakes.Clock()
     return lease.LeaseController(
         "roles",
@@ -21,6 +21,7 @@
         clock,
         lambda: True,
         ORDER_TIMEOUT_S,
+        takes_over_own=takes_over_own,
     )
 
 
@@ -140,3 +141,30 @@
         assert new.valid_for(now()) > 0
 
     claim_fakes.run(main())
+
+
+def test_a_restarted_holder_takes_its_lease_over_with_a_higher_fence():
+    async def main():
+        platform = claim_fakes.Platform(latency_s=0.0)
+        old = make(platform, "a")
+        await old.receive(lease.Tick())
+        restarted = make(platform, "a", 2, takes_over_own=True)
+        other = make(platform, "b", 2, takes_over_own=True)
+        await other.receive(lease.Tick())
+        await restarted.receive(lease.Tick())
+        assert restarted.valid_for(now()) == lease.DURATION_S
+        assert restarted.fence() == old.fence() + 1
+        assert other.valid_for(now()) == 0
+
+    claim_fakes.run(main())
+
+
+def test_a_restarted_holder_waits_unless_its_old_process_is_known_to_be_gone():
+    async def main():
+        platform = claim_fakes.Platform(latency_s=0.0)
+        await make(platform, "a").receive(lease.Tick())
+        restarted = make(platform, "a", 2)
+        await restarted.receive(lease.Tick())
+        assert restarted.valid_for(now()) == 0
+
+    claim_fakes.run(main())
--- a/tests/seam_platform/test_settings_template.py
+++ b/tests/seam_platform/test_settings_template.py
@@ -43,6 +43,7 @@
             "directory": "10.0.0.1:8143",
         },
         "platform_api": {"address": "10.0.0.9:8142"},
+        "limits": {"cpu_share": 0.717, "cores": 3},
         "bounds": bounds,
     }
 
@@ -51,7 +52,7 @@
         for part in path.split("."):
             if isinstance(found, list):
                 found = found[int(part)]
-            else:
+            elif found is not None:
                 found = found.get(part)
         return found
 
@@ -106,3 +107,7 @@
     assert load({**BOUNDS, "ttl_max_s": 0.75}).ok.entry.effective_cache_s() == (
         0.75
     )
+
+
+def test_the_capacity_is_that_of_the_machine():
+    assert load(BOUNDS).ok.capacity.cores() == pytest.approx(2.151)
--- a/tests/seam_policy/test_estimate.py
+++ b/tests/seam_policy/test_estimate.py
@@ -64,3 +64,33 @@
         queue.serve(("big", "small", "late")[which], 100.0)
         queue.remove(("big", "small", "late")[which], key)
     assert turns.count(2) <= 3
+
+
+def test_running_mean_is_the_mean_of_few_samples():
+    mean = estimate.RunningMean(gain=0.1)
+    for sample in (10.0, 20.0, 60.0, math.nan):
+        mean.add(sample)
+    assert mean.mean == estimate.Mean(30.0, 3.0)
+
+
+def test_running_mean_follows_a_change():
+    mean = estimate.RunningMean(gain=0.1)
+    for sample in [10.0] * 50 + [20.0] * 50:
+        mean.add(sample)
+    assert 19.0 < mean.mean.value < 20.0
+    assert mean.mean.weight == 10.0
+
+
+def test_pooled_mean_weighs_by_samples():
+    means = [estimate.Mean(10.0, 30.0), estimate.Mean(40.0, 9.0)]
+    assert estimate.pooled_mean(means, 20.0) == (300 + 360 + 20) / 40
+    assert estimate.pooled_mean([], 20.0) == 20.0
+
+
+def test_median_rate_ignores_single_outliers():
+    rate = estimate.MedianRate(5.0)
+    assert (rate.rate, len(rate)) == (5.0, 0)
+    for units in (10, 11, 500, 9, 10, 0):
+        rate.add(units, 1.0)
+    assert rate.rate == 10.0
+    assert rate.mean() == estimate.Mean(10.0, 5)
--- a/tests/seam_policy/test_stage_balance.py
+++ b/tests/seam_policy/test_stage_balance.py
@@ -56,11 +56,21 @@
 
 def test_large_service_is_split_exactly():
     """One of many engines changes the rate only a little, but still counts."""
-    assert target(8, 14, NARROW) == (6, 16)
-    assert target(7, 15, NARROW) == (6, 16)
+    assert target(8, 14, NARROW) == (5, 17)
+    assert target(6, 16, NARROW) == (5, 17)
 
 
 def test_target_split_of_a_large_service_is_stable():
     for prefill in range(1, 22):
         best = target(prefill, 22 - prefill, NARROW)
         assert target(*best, NARROW) == best
+
+
+def test_an_assumed_load_leaves_engines_in_each_stage():
+    """Guards against a split that fits no load but the assumed one."""
+    size = stage_balance.EngineSize(64, 34_618)
+    split = stage_balance.StageSplit(4, 5)
+    assumed = stage_balance.target_split(split, size, LOAD, measured=False)
+    assert (assumed.prefill, assumed.decode) == (2, 7)
+    pair = stage_balance.StageSplit(1, 1)
+    assert stage_balance.target_split(pair, size, LOAD, measured=False) == pair
--- /dev/null
+++ b/tests/standins/placement_world.py
@@ -0,0 +1,293 @@
+"""Instances that grant each other places, on virtual time and without sockets.
+
+Datagrams take `DELAY_S`; a test may cut, lose or freeze them.
+"""
+
+import asyncio
+
+from seam_model import forward_settings
+from seam_model import forwarding
+from seam_node import logs
+from seam_node.forward import call_stats
+from seam_node.forward import catalog_state
+from seam_node.forward import context
+from seam_node.forward import coordinators
+from seam_node.forward import engine_access
+from seam_node.forward import engine_outcomes
+from seam_node.forward import message_codec
+from seam_node.forward import messages
+from seam_node.forward import placement
+from seam_node.forward import placement_service
+from seam_node.forward import placer
+from seam_node.forward import prefill_engines
+from seam_node.forward import stream_reports
+from seam_node.forward import workload
+from seam_node.ports import catalog
+from seam_policy import stream_ledger
+from standins import forward_heartbeats
+from standins import virtual_loop
+
+DELAY_S = 0.005
+SERVICE = "engines"
+SPEC = forwarding.EngineSpec(
+    slots=8,
+    kv_tokens=40_000,
+    handle_ttl_s=0.5,
+    tokens_per_event=10,
+    hold_ttl_s=2.0,
+)
+LOAD = forward_settings.WorkloadSettings(3000.0, 1000.0, 300.0, 30_000.0)
+ROUTE = forwarding.Route(
+    name="draft",
+    host="h",
+    path_prefix="/",
+    kind=forwarding.RouteKind.STREAM,
+    timeout_s=14.0,
+    target_s=1.0,
+    rank=0,
+    splits=(),
+    max_attempts=1,
+    max_gap_s=0.3,
+    patience_s=4.0,
+)
+
+
+def engine(
+    name: str, stage: forwarding.Stage, data_centre: str = "here"
+) -> forwarding.Endpoint:
+    """Returns an announced engine."""
+    return forwarding.Endpoint(
+        name,
+        1,
+        forwarding.Address("10.0.0.9", 80),
+        SERVICE,
+        data_centre,
+        SPEC.slots,
+        False,
+        stage,
+    )
+
+
+def request(
+    request_id: str = "r",
+    prompt_tokens: int = 3000,
+    hinted_tokens: int = 1000,
+    deadline_s: float = 14.0,
+) -> forwarding.ForwardRequest:
+    """Returns a model request."""
+    prompt = forwarding.PromptSize(prompt_tokens, 2000, hinted_tokens)
+    return forwarding.ForwardRequest(
+        request_id, "POST", "h", "/", (), b"", deadline_s, prompt
+    )
+
+
+class Instance:
+    """The parts of an instance that have to do with placement."""
+
+    def __init__(self, world: "World", name: str, capacity: float = 1.0):
+        self.world = world
+        self.entry = forward_heartbeats.make_instance_entry(name)
+        self.capacity = capacity
+        self.events: list[str] = []
+        now, log = world.now, logs.Log(name)
+        self.endpoints = catalog_state.Endpoints(log)
+        for each in world.engines:
+            self.endpoints.put(catalog.Entry(each.id, 1, each))
+        self.stats = call_stats.CallStats()
+        access = engine_access.EngineAccess(
+            self.endpoints, self.stats, None, None, None, log
+        )
+        self.load = workload.WorkloadEstimate(LOAD, now)
+        self.ledger = stream_ledger.StreamLedger(
+            lambda: self.load.output_tokens_s
+        )
+        self.order = coordinators.Coordinators(
+            self.heartbeat, self._live, now, log
+        )
+        self.prefills = prefill_engines.PrefillEngines(
+            access, lambda data_centre: 0.0, now
+        )
+        self.placer = placer.Placer(
+            name,
+            access,
+            self.ledger,
+            self.prefills,
+            lambda service: SPEC,
+            self.load,
+            now,
+        )
+        self.outcomes = engine_outcomes.EngineOutcomes(self.stats, now, log)
+        self.placement = placement.Placement(
+            self.entry,
+            self.order,
+            self.placer,
+            self.ledger,
+            self.endpoints,
+            self.outcomes,
+            self.send,
+            now,
+            log,
+        )
+        self.service = placement_service.PlacementService(
+            self.entry,
+            self.placer,
+            self.ledger,
+            self.outcomes,
+            self.load,
+            world.entry_of,
+            self.send,
+            now,
+            log,
+        )
+        self.reports = stream_reports.StreamReports(
+            self.entry, self.order, self._report, self.send
+        )
+        self._handlers = {
+            messages.PlaceAsk: self.service.on_ask,
+            messages.PlaceAnswer: self.placement.on_answer,
+            messages.PrefillEnded: self.service.on_prefill_ended,
+            messages.StreamEnded: self.service.on_ended,
+            messages.StreamReport: self.service.on_report,
+        }
+
+    @property
+    def name(self) -> str:
+        return self.entry.name
+
+    def heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(self.entry, True, 1, self.capacity, True)
+
+    def send(
+        self, message: messages.Message, to: forwarding.InstanceEntry
+    ) -> None:
+        self.world.transmit(self.name, to.name, message)
+
+    def receive(self, message: messages.Message) -> None:
+        self._handlers[type(message)](message)
+
+    async def place(
+        self,
+        request_id: str = "r",
+        route: forwarding.Route = ROUTE,
+        **options: object,
+    ) -> tuple[placement.Placed, context.ForwardContext]:
+        """Asks for a place as a request would; returns the context too."""
+        ctx = context.ForwardContext(
+            request(request_id, **options),
+            None,
+            self.world.now(),
+            self.world.now,
+        )
+        ctx.route = route
+        ctx.service = forwarding.ServiceSpec(SERVICE, 50, SPEC)
+        ctx.deadline_at = ctx.arrived_at + route.timeout_s
+        return await self.placement.place(ctx), ctx
+
+    def _live(self) -> list[messages.Heartbeat]:
+        return [
+            each.heartbeat()
+            for each in self.world.instances.values()
+            if each is not self and each.name not in self.world.known_dead
+        ]
+
+    def _report(self) -> messages.StreamReport:
+        return messages.StreamReport(
+            self.name,
+            self.entry.incarnation,
+            self.placement.streams(),
+            self.outcomes.excluded(),
+            self.load.own(),
+        )
+
+
+class World:
+    """A fleet whose instances see each other as live."""
+
+    def __init__(
+        self,
+        names: tuple[str, ...] = ("one", "two", "three"),
+        prefill: int = 2,
+        decode: int = 3,
+    ):
+        loop = asyncio.get_running_loop()
+        self.now = loop.time
+        self.engines = [
+            *(
+                engine(f"p-{number}", forwarding.Stage.PREFILL)
+                for number in range(prefill)
+            ),
+            *(
+                engine(f"d-{number}", forwarding.Stage.DECODE)
+                for number in range(decode)
+            ),
+        ]
+        self.silent: set[str] = set()
+        """Instances that neither send nor receive."""
+        self.known_dead: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.lost: set[type] = set()
+        """Types of messages that are lost."""
+        self.sent: list[messages.Message] = []
+        self.instances: dict[str, Instance] = {}
+        for name in names:
+            self.instances[name] = Instance(self, name)
+
+    @property
+    def placer(self) -> Instance:
+        """The first coordinator of the live instances."""
+        any_instance = next(iter(self.instances.values()))
+        return self.instances[any_instance.order.ordered()[0].entry.name]
+
+    @property
+    def others(self) -> list[Instance]:
+        """All instances but the placer."""
+        return [i for i in self.instances.values() if i is not self.placer]
+
+    def entry_of(self, name: str) -> forwarding.InstanceEntry | None:
+        known = self.instances.get(name)
+        return known.entry if known else None
+
+    def transmit(
+        self, sender: str, receiver: str, message: messages.Message
+    ) -> None:
+        self.sent.append(message)
+        if (
+            {sender, receiver} & self.silent
+            or frozenset((sender, receiver)) in self.cuts
+            or type(message) in self.lost
+        ):
+            return
+        data = message_codec.encode(message)
+        asyncio.get_running_loop().call_later(
+            DELAY_S, self._deliver, receiver, data
+        )
+
+    def _deliver(self, receiver: str, data: bytes) -> None:
+        if receiver not in self.silent:
+            self.instances[receiver].receive(message_codec.decode(data))
+
+    async def start(self) -> None:
+        for each in self.instances.values():
+            await each.service.start()
+            await each.reports.start()
+
+    async def close(self) -> None:
+        for each in self.instances.values():
+            await each.reports.close()
+            await each.service.close()
+
+
+def run(scenario, **options) -> None:
+    """Runs a scenario with a new fleet on virtual time."""
+    loop = virtual_loop.VirtualLoop()
+
+    async def main() -> None:
+        world = World(**options)
+        await world.start()
+        try:
+            await scenario(world)
+        finally:
+            await world.close()
+
+    loop.run_until_complete(main())
+    loop.close()
