Follow the store through two instances and pass its objects on

Change: the first two coordinators follow the store with shorter calls; the others take routes and endpoints from one of them over TCP and ask the store themselves when the feed is lost, old or behind what they know. A source passes on what the store has, not what it keeps for itself after an outage.

--- a/packages/seam_model/seam_model/forward_settings.py
+++ b/packages/seam_model/seam_model/forward_settings.py
@@ -81,6 +81,9 @@
     settle_ms: float = toml_check.checked_field(above=0, high=3_600_000)
     """Time after a disruption of the store or of this instance within which
     the instance must follow all changes again, in milliseconds."""
+    apply_ms: float = toml_check.checked_field(above=0, high=3_600_000)
+    """Time within which a change of the store must be in force, in
+    milliseconds."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -7,6 +7,7 @@
 import expression
 
 from seam_model import errors
+from seam_node.forward import feed_board
 from seam_node.forward import store_link
 from seam_node.ports import catalog
 
@@ -44,8 +45,10 @@
         source: catalog.Catalog,
         listener: ChangeListener,
         link: store_link.StoreLink,
-        wait_s: float,
+        wait_s: Callable[[], float],
         now: Callable[[], float],
+        first_watch_delay_s: float = 0.0,
+        board: feed_board.FeedBoard | None = None,
     ):
         """Creates a watch that is not started.
 
@@ -54,15 +57,20 @@
             source: the store.
             listener: receives the changes.
             link: reachability of the store, shared by all watches.
-            wait_s: duration of one watch call, and so the time to detect a
-                store that no longer delivers changes to the watch.
+            wait_s: returns the duration of one watch call, and so the time to
+                detect a store that no longer delivers changes to the watch.
             now: the clock.
+            first_watch_delay_s: pause between the first listing and the first
+                watch, in which the watch may turn out to be needless.
+            board: told what the store has, for other instances.
         """
         self._kind = kind
         self._source = source
         self._listener = listener
         self._link = link
         self._wait_s = wait_s
+        self._first_watch_delay_s = first_watch_delay_s
+        self._board = board or feed_board.FeedBoard()
         self._now = now
         self._names: set[str] = set()
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
@@ -70,6 +78,8 @@
         self._task: asyncio.Task | None = None
         self.answered_at: float | None = None
         """Time of the store's last answer; None before the first listing."""
+        self.known_revision = 0
+        """Newest revision of the store up to which the objects are known."""
 
     async def start(self) -> None:
         """Starts listing and watching."""
@@ -80,6 +90,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
         for timer in self._pending_removals.values():
             timer.cancel()
 
@@ -87,8 +98,35 @@
         """Cancels the current call and lists all objects again."""
         await self.close()
         self._pending_removals.clear()
-        self._revision = None
-        await self.start()
+        self.resume()
+
+    def resume(self) -> None:
+        """Lists and watches again unless that is being done."""
+        if self._task is None or self._task.done():
+            self._revision = None
+            self._task = asyncio.ensure_future(self._run())
+
+    def pause(self, revision: int, age_s: float) -> None:
+        """Stops calling the store, as another source tells of the objects.
+
+        Args:
+            revision: the store's revision up to which the source knows them.
+            age_s: time since the store's last answer to the source.
+        """
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        self.known_revision = max(self.known_revision, revision)
+        answered_at = self._now() - age_s
+        self.answered_at = max(answered_at, self.answered_at or answered_at)
+
+    def replace(self, entries: tuple[catalog.Entry, ...]) -> None:
+        """Replaces all objects by those of another source."""
+        self._link.note_other_source()
+        for name in self._names - {entry.name for entry in entries}:
+            self._schedule_removal(name)
+        for entry in entries:
+            self._add(entry)
 
     def age_s(self) -> float:
         """Returns the seconds since the store's last answer."""
@@ -99,6 +137,12 @@
     async def _run(self) -> None:
         backoff_s = BACKOFF_INITIAL_S
         while True:
+            if self._revision is not None and self._first_watch_delay_s:
+                delay_s, self._first_watch_delay_s = (
+                    self._first_watch_delay_s,
+                    0.0,
+                )
+                await asyncio.sleep(delay_s)
             is_probe = await self._link.acquire_turn()
             try:
                 done = await self._list_or_watch(is_probe)
@@ -129,12 +173,12 @@
             self._schedule_removal(name)
         for entry in listed.ok.entries:
             self._add(entry)
-        self._revision = listed.ok.revision
+        self._note_revision(listed.ok.revision)
         return expression.Ok(None)
 
     async def _watch(self) -> Done:
         watched = await self._source.watch(
-            self._kind, self._revision, self._wait_s
+            self._kind, self._revision, self._wait_s()
         )
         if watched.is_error():
             if isinstance(watched.error, errors.HistoryGone):
@@ -147,7 +191,7 @@
                 self._schedule_removal(change.entry.name)
             else:
                 self._add(change.entry)
-        self._revision = max(self._revision, watched.ok.revision)
+        self._note_revision(max(self._revision, watched.ok.revision))
         if watched.ok.changes:
             await asyncio.sleep(COALESCE_S)
         return expression.Ok(None)
@@ -157,6 +201,7 @@
         if timer is not None:
             timer.cancel()
         self._names.add(entry.name)
+        self._board.update(feed_board.Update(self._kind, entry, removed=False))
         self._listener.put(entry)
 
     def _schedule_removal(self, name: str) -> None:
@@ -165,6 +210,8 @@
         During an outage the announcements of live endpoints expire, so objects
         that are missing afterwards get time to be announced again.
         """
+        entry = catalog.Entry(name, 0, None)
+        self._board.update(feed_board.Update(self._kind, entry, removed=True))
         grace_left_s = (
             self._link.recovered_at + REANNOUNCE_GRACE_S - self._now()
         )
@@ -187,6 +234,10 @@
         self._link.record_failure(error)
         return expression.Error(error)
 
+    def _note_revision(self, revision: int) -> None:
+        self._revision = revision
+        self.known_revision = max(self.known_revision, revision)
+
     def _note_answer(self) -> None:
         self.answered_at = self._now()
         self._link.record_success()
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/feed_server.py
@@ -0,0 +1,114 @@
+"""Passes the store's objects on to the instances that follow this one."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from seam_model import forwarding
+from seam_node import logs
+from seam_node.forward import feed_board
+from seam_node.forward import feed_codec
+
+WRITE_TIMEOUT_S = 2.0
+"""Time after which a follower that does not read is dropped."""
+
+
+class FeedServer:
+    """Serves a feed on the address for other instances (TCP)."""
+
+    def __init__(
+        self,
+        address: forwarding.Address,
+        board: feed_board.FeedBoard,
+        statuses: Callable[[], tuple[feed_codec.Status, ...]],
+        alive_interval_s: float,
+        log: logs.Log,
+    ):
+        """Creates a server that does not listen yet.
+
+        Args:
+            address: where to listen.
+            board: the objects and their changes.
+            statuses: returns how far the copies are up to date.
+            alive_interval_s: interval between two `Alive` frames.
+            log: the log.
+        """
+        self._address = address
+        self._board = board
+        self._statuses = statuses
+        self._alive_interval_s = alive_interval_s
+        self._log = log
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Starts listening."""
+        self._server = await asyncio.start_server(
+            self._serve, self._address.host, self._address.port
+        )
+
+    async def close(self) -> None:
+        """Stops listening and ends all feeds."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        del reader
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        queue = self._board.subscribe()
+        try:
+            await self._feed(queue, writer)
+        except (OSError, TimeoutError) as exc:
+            self._log.event("follower_lost", reason=type(exc).__name__)
+        except asyncio.CancelledError:
+            # The task ends here; asyncio's streams would log the cancellation
+            # as an error.
+            pass
+        finally:
+            self._board.unsubscribe(queue)
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _feed(
+        self,
+        queue: "asyncio.Queue[feed_board.Update]",
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for kind in feed_codec.KINDS:
+            listing = feed_codec.Listing(kind, self._board.entries(kind))
+            writer.write(feed_codec.encode(listing))
+        while True:
+            writer.write(feed_codec.encode(feed_codec.Alive(self._statuses())))
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await writer.drain()
+            await self._forward_updates(queue, writer)
+
+    async def _forward_updates(
+        self,
+        queue: "asyncio.Queue[feed_board.Update]",
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Writes the updates that come until the next `Alive` frame is due."""
+        updates = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._alive_interval_s):
+                updates.append(await queue.get())
+        while not queue.empty():
+            updates.append(queue.get_nowait())
+        for each in updates:
+            if not each.encoded:
+                each.encoded = feed_codec.encode(
+                    feed_codec.Change(each.kind, each.entry, each.removed)
+                )
+            writer.write(each.encoded)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -26,6 +26,10 @@
 from seam_node.forward import engine_outcomes
 from seam_node.forward import entry
 from seam_node.forward import exchange
+from seam_node.forward import feed_board
+from seam_node.forward import feed_client
+from seam_node.forward import feed_codec
+from seam_node.forward import feed_server
 from seam_node.forward import forward_gauges
 from seam_node.forward import handler
 from seam_node.forward import holds
@@ -61,6 +65,8 @@
 NO_ORDER_POSITION = 10**6
 """Order position of an instance that must not send orders."""
 STAGE_LEASE = "stages"
+FIRST_WATCH_DELAY_S = 1.0
+"""Pause before the first watch, in which a feed may be found instead."""
 SWEEP_INTERVAL_S = 1.0
 STOP_ACCEPTING_GRACE_SHARE = 0.25
 """Share of the grace period after which new connections are refused."""
@@ -201,9 +207,12 @@
     # Wiring
 
     def _make_state(self) -> None:
+        store = self.settings.store
         self._watch_wait_s = time_bounds.watch_wait_s(
-            self.settings.store.settle_ms / forward_settings.MS_PER_S
+            store.settle_ms / forward_settings.MS_PER_S
         )
+        self._apply_s = store.apply_ms / forward_settings.MS_PER_S
+        self._board = feed_board.FeedBoard()
         self.routes = catalog_state.Routes(self.log)
         self.endpoints = catalog_state.Endpoints(self.log)
         self.stats = call_stats.CallStats()
@@ -211,6 +220,7 @@
             self._now,
             self.log,
             lambda outcome: self.metrics.platform_call("read", outcome),
+            lambda: self._feed_client.connected,
         )
         self._routes_watch = self._watch(catalog.Kind.ROUTES, self.routes)
         self._endpoints_watch = self._watch(
@@ -240,10 +250,18 @@
             self.ports.catalog,
             listener,
             self._store_link,
-            self._watch_wait_s,
+            self._current_wait_s,
             self._now,
+            FIRST_WATCH_DELAY_S,
+            self._board,
         )
 
+    def _current_wait_s(self) -> float:
+        """Returns how long a watch waits, shorter if others depend on it."""
+        if self._board.subscriber_count:
+            return time_bounds.source_wait_s(self._apply_s)
+        return self._watch_wait_s
+
     def _make_senders(self) -> None:
         retries = self.settings.retries
         self._conns = connections.Connections()
@@ -271,6 +289,7 @@
             self.stats, self._now, self.log
         )
         self._make_placement()
+        self._make_feed()
         self.endpoints.on_ended = self._on_ended
         self.endpoints.on_stage = lambda each: self.stats.include(each.key)
         self._make_stages()
@@ -326,6 +345,31 @@
         self._port.handle(messages.StreamReport, service.on_report)
         self._port.handle(messages.PlaceAnswer, self.placement.on_answer)
 
+    def _make_feed(self) -> None:
+        watches = {
+            catalog.Kind.ROUTES: self._routes_watch,
+            catalog.Kind.ENDPOINTS: self._endpoints_watch,
+        }
+        self._feed_client = feed_client.FeedClient(
+            self.entry.name,
+            watches,
+            self.coordinators,
+            lambda: self._board.subscriber_count,
+            time_bounds.source_max_age_s(self._apply_s),
+            self._now,
+            self.log,
+        )
+        self._feed_server = feed_server.FeedServer(
+            self.entry.peers,
+            self._board,
+            lambda: tuple(
+                feed_codec.Status(kind, watch.known_revision, watch.age_s())
+                for kind, watch in watches.items()
+            ),
+            time_bounds.source_wait_s(self._apply_s) / 2,
+            self.log,
+        )
+
     def _make_stages(self) -> None:
         self.stages = stages.StageController(
             self.routes,
@@ -412,6 +456,8 @@
             self.peers,
             self._placement_service,
             self._stream_reports,
+            self._feed_server,
+            self._feed_client,
             self._suspend_watch,
             self._stage_lease,
             self.stages,
@@ -473,8 +519,13 @@
 
     def _on_resume(self, suspended_s: float) -> None:
         del suspended_s
+        task.run_in_background(self._read_anew())
+
+    async def _read_anew(self) -> None:
+        """Reads the store again after a suspension."""
+        await self._feed_client.restart()
         for each in (self._routes_watch, self._endpoints_watch):
-            task.run_in_background(each.restart())
+            await each.restart()
 
     async def _close_expired_connections(self) -> None:
         while True:
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -200,9 +200,9 @@
         size = stage_balance.EngineSize(
             spec.engine.slots, spec.engine.kv_tokens
         )
-        target = stage_balance.target_split(
-            current, size, self._load.current(), self._load.is_known()
-        )
+        measured = self._load.is_known()
+        load = self._load.current() if measured else self._load.expected()
+        target = stage_balance.target_split(current, size, load, measured)
         if target.prefill == current.prefill:
             return None
         donors, stage = (
--- a/packages/seam_node/seam_node/forward/store_link.py
+++ b/packages/seam_node/seam_node/forward/store_link.py
@@ -10,6 +10,8 @@
 """Alternating timeouts of probes while the store is unreachable; the longer
 one also detects a store that answers slowly."""
 PROBE_INTERVAL_S = 0.15
+RARE_PROBE_INTERVAL_S = 1.0
+"""The same while another instance would tell of the store's recovery."""
 
 
 class StoreLink:
@@ -20,6 +22,7 @@
         now: Callable[[], float],
         log: logs.Log,
         count_outcome: Callable[[str], None],
+        others_probe: Callable[[], bool] = lambda: False,
     ):
         """Starts with a reachable store.
 
@@ -27,10 +30,13 @@
             now: the clock.
             log: where loss and recovery of the store are logged.
             count_outcome: counts the outcome of each call, by code.
+            others_probe: returns whether another instance probes the store and
+                would tell of its recovery.
         """
         self._now = now
         self._log = log
         self._count_outcome = count_outcome
+        self._others_probe = others_probe
         self._reachable = asyncio.Event()
         self._reachable.set()
         self._probe_lock = asyncio.Lock()
@@ -59,6 +65,13 @@
             self._reachable.set()
             self._log.event("store_regained", probes=self._probe_count)
 
+    def note_other_source(self) -> None:
+        """Ends an outage, as another instance tells what the store has."""
+        if self.unreachable:
+            self.recovered_at = self._now()
+            self._reachable.set()
+            self._log.event("store_bypassed", probes=self._probe_count)
+
     async def acquire_turn(self) -> bool:
         """Waits until this watch may call the store.
 
@@ -86,7 +99,11 @@
 
     async def _wait_between_probes(self) -> None:
         try:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(
+                RARE_PROBE_INTERVAL_S
+                if self._others_probe()
+                else PROBE_INTERVAL_S
+            )
         except asyncio.CancelledError:
             self._probe_lock.release()
             raise
--- a/packages/seam_node/seam_node/forward/workload.py
+++ b/packages/seam_node/seam_node/forward/workload.py
@@ -10,7 +10,7 @@
 from seam_policy import stage_balance
 
 GAIN = 0.03
-MIN_SAMPLES = 12
+MIN_SAMPLES = 40
 """Samples of each figure, over all instances, from which a load is known."""
 KEEP_PEER_S = 30.0
 """Time for which the figures of an instance that fell silent are used."""
@@ -95,6 +95,12 @@
             )
         )
 
+    def expected(self) -> stage_balance.Workload:
+        """Returns the averages assumed before any request."""
+        return stage_balance.Workload(
+            *(getattr(self._expected, name) for name in _FIGURES)
+        )
+
     def is_known(self) -> bool:
         """Returns whether enough requests were measured to act on them."""
         all_means = self._all()
--- a/packages/seam_policy/seam_policy/time_bounds.py
+++ b/packages/seam_policy/seam_policy/time_bounds.py
@@ -7,6 +7,10 @@
 
 MAX_WATCH_WAIT_S = 2.0
 MIN_WATCH_WAIT_S = 0.3
+MAX_SOURCE_WAIT_S = 1.0
+MIN_SOURCE_WAIT_S = 0.2
+SLOW_ANSWER_S = 0.2
+"""Longest time that a slow store takes to answer."""
 RELIST_S = 1.0
 """Time to give up a silent watch after its wait and to list the objects."""
 ORDER_ARRIVAL_MARGIN_S = 0.2
@@ -28,6 +32,22 @@
     return watch_wait_s + 1.5 * RELIST_S
 
 
+def source_wait_s(apply_s: float) -> float:
+    """Returns the wait of a watch whose objects are passed on to others.
+
+    The others have to find out within `apply_s` that the watch hears nothing.
+    """
+    return min(MAX_SOURCE_WAIT_S, max(MIN_SOURCE_WAIT_S, apply_s / 4))
+
+
+def source_max_age_s(apply_s: float) -> float:
+    """Returns the age of the store's last answer up to which a source is used.
+
+    Beyond it, the other instances ask the store themselves.
+    """
+    return 1.5 * source_wait_s(apply_s) + SLOW_ANSWER_S
+
+
 def lease_handover_s(handover_s: float, order_timeout_s: float) -> float:
     """Returns how long a successor waits after a lease has expired.
 
--- a/tests/seam_node/forward/test_catalog_watch.py
+++ b/tests/seam_node/forward/test_catalog_watch.py
@@ -128,7 +128,7 @@
             source,
             names,
             link,
-            WATCH_WAIT_S,
+            lambda: WATCH_WAIT_S,
             loop.time,
         )
         await watch.start()
@@ -242,7 +242,7 @@
             source,
             Names(),
             link,
-            WATCH_WAIT_S,
+            lambda: WATCH_WAIT_S,
             loop.time,
         )
         await other.start()
--- a/tests/seam_platform/test_settings_template.py
+++ b/tests/seam_platform/test_settings_template.py
@@ -12,6 +12,7 @@
 TEMPLATE = pathlib.Path("deploy/settings.toml.template")
 BOUNDS = {
     "stable_window_ms": 3000,
+    "config_apply_ms": 2000,
     "lease_ms": 3000,
     "ttl_max_s": 5,
     "retry_budget_ratio": 0.2,
@@ -21,6 +22,7 @@
 }
 READERS = {
     "stable_window_ms": lambda found: found.store.settle_ms,
+    "config_apply_ms": lambda found: found.store.apply_ms,
     "lease_ms": lambda found: found.orders.handover_ms,
     "ttl_max_s": lambda found: found.entry.max_cache_s,
     "retry_budget_ratio": lambda found: found.retries.ratio,
