Accept callers for as long as they may not know that an instance leaves

The median rate of prefills counts all samples: one instance alone never reached the number from which a load is known.

--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -68,8 +68,6 @@
 FIRST_WATCH_DELAY_S = 1.0
 """Pause before the first watch, in which a feed may be found instead."""
 SWEEP_INTERVAL_S = 1.0
-STOP_ACCEPTING_GRACE_SHARE = 0.25
-"""Share of the grace period after which new connections are refused."""
 EXIT_MARGIN_S = 0.4
 """Time before the end of the grace period at which the process exits."""
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -182,7 +180,8 @@
         withdrawal = asyncio.ensure_future(
             self.ports.catalog.withdraw(self.entry.name)
         )
-        await asyncio.sleep(grace_s * STOP_ACCEPTING_GRACE_SHARE)
+        cache_s = self.settings.entry.effective_cache_s()
+        await asyncio.sleep(time_bounds.accept_s(cache_s, grace_s))
         self.caller_server.stop_accepting()
         while self.caller_server.running and self._now() < exit_at:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/seam_policy/seam_policy/estimate.py
+++ b/packages/seam_policy/seam_policy/estimate.py
@@ -167,21 +167,23 @@
             maxlen=_MEDIAN_SAMPLES
         )
         self.rate = initial
+        self._count = 0
 
     def __len__(self) -> int:
-        """Returns the number of samples that count."""
-        return len(self._samples)
+        """Returns the number of samples since the start."""
+        return self._count
 
     def add(self, units: float, seconds: float) -> None:
         """Adds a sample of one completed piece of work."""
         if units <= 0 or seconds <= 0:
             return
+        self._count += 1
         self._samples.append(units / seconds)
         self.rate = statistics.median(self._samples)
 
     def mean(self) -> Mean:
-        """Returns the rate and the number of samples."""
-        return Mean(self.rate, len(self._samples))
+        """Returns the rate and the number of samples since the start."""
+        return Mean(self.rate, self._count)
 
 
 class EngineEstimates:
--- a/packages/seam_policy/seam_policy/time_bounds.py
+++ b/packages/seam_policy/seam_policy/time_bounds.py
@@ -11,6 +11,12 @@
 MIN_SOURCE_WAIT_S = 0.2
 SLOW_ANSWER_S = 0.2
 """Longest time that a slow store takes to answer."""
+CACHE_FACTOR = 3.0
+"""Some callers keep an entry answer this many times longer than stated."""
+ANSWER_DELAY_S = 0.3
+"""Time until all instances name a leaving one no more."""
+MAX_ACCEPT_SHARE = 0.5
+"""Share of the grace period in which new connections may be accepted."""
 RELIST_S = 1.0
 """Time to give up a silent watch after its wait and to list the objects."""
 ORDER_ARRIVAL_MARGIN_S = 0.2
@@ -48,6 +54,21 @@
     return 1.5 * source_wait_s(apply_s) + SLOW_ANSWER_S
 
 
+def accept_s(cache_s: float, grace_s: float) -> float:
+    """Returns how long a leaving instance accepts new connections.
+
+    Callers keep an entry answer for up to `CACHE_FACTOR` times its stated time
+    and would find no connection sooner. The rest of the grace period is for
+    the requests that run. This handles restarts of all instances in turn.
+
+    Args:
+        cache_s: time stated in entry answers.
+        grace_s: time until a leaving process is killed.
+    """
+    needed_s = CACHE_FACTOR * cache_s + ANSWER_DELAY_S
+    return min(needed_s, MAX_ACCEPT_SHARE * grace_s)
+
+
 def lease_handover_s(handover_s: float, order_timeout_s: float) -> float:
     """Returns how long a successor waits after a lease has expired.
 
--- a/tests/seam_node/forward/test_workload.py
+++ b/tests/seam_node/forward/test_workload.py
@@ -33,7 +33,9 @@
 
 def test_a_few_requests_tell_the_load():
     load = make()
-    record(load, 20)
+    record(load, workload.MIN_SAMPLES - 1)
+    assert not load.is_known()
+    record(load, 1)
     current = load.current()
     assert load.is_known()
     assert abs(current.prompt_tokens - 3000) < 300
@@ -45,7 +47,7 @@
     """Guards against a fleet whose instances each see too few requests."""
     clock = Clock()
     load = make(clock)
-    for number in range(30):
+    for number in range(workload.MIN_SAMPLES):
         other = make(clock)
         record(other, 1)
         load.merge(f"i-{number}", other.own())
--- a/tests/seam_policy/test_time_bounds.py
+++ b/tests/seam_policy/test_time_bounds.py
@@ -27,3 +27,22 @@
     last_arrival_s = 1.0 + time_bounds.ORDER_ARRIVAL_MARGIN_S
     found_s = time_bounds.lease_handover_s(handover_s, order_timeout_s=1.0)
     assert found_s - last_arrival_s >= handover_s
+
+
+def test_a_leaving_instance_accepts_callers_that_cannot_know_yet():
+    accept_s = time_bounds.accept_s(cache_s=1.0, grace_s=8.0)
+    assert accept_s >= 3.0
+    assert 8.0 - accept_s >= 4.0
+
+
+def test_a_short_grace_period_is_not_spent_on_accepting():
+    assert time_bounds.accept_s(cache_s=5.0, grace_s=3.0) == 1.5
+
+
+@pytest.mark.parametrize("apply_s", [1.0, 1.3, 2.0, 3.0, 4.0, 10.0])
+def test_a_source_that_hears_nothing_is_found_out_in_time(apply_s):
+    """The follower reads every half wait, then lists by itself."""
+    wait_s = time_bounds.source_wait_s(apply_s)
+    found_s = time_bounds.source_max_age_s(apply_s) + wait_s / 2
+    assert wait_s < time_bounds.source_max_age_s(apply_s)
+    assert found_s <= 0.75 * apply_s
