Let one instance's samples suffice to know the load

Cause: a mean counts at most 33 samples, but 40 are needed, so a single instance never knew the load.

--- a/packages/seam_node/seam_node/forward/workload.py
+++ b/packages/seam_node/seam_node/forward/workload.py
@@ -9,7 +9,7 @@
 from seam_policy import estimate
 from seam_policy import stage_balance
 
-GAIN = 0.03
+GAIN = 0.02
 MIN_SAMPLES = 40
 """Samples of each figure, over all instances, from which a load is known."""
 KEEP_PEER_S = 30.0
