Bound what is collected of an answer

Cause: bytes without end in a plain body, in chunks or without a length, and in a refusal of an engine were collected up to 64 MB, on instances that have 128 MB; an event without end was copied again with each chunk. Change: collected bodies end at 8 MiB, unread bytes at 8 MiB, an event at 1 MiB; the connection is closed and the request fails as one that may have run.

--- a/packages/seam_node/seam_node/forward/exchange.py
+++ b/packages/seam_node/seam_node/forward/exchange.py
@@ -18,6 +18,10 @@
 MAX_MISMATCHED_ANSWERS = 4
 """Answers to other requests that are skipped on one connection."""
 
+MAX_COLLECTED_BYTES = 8 * 1024 * 1024
+"""Size of a body that is collected before it is used. An endpoint may send
+without end, and an instance has little memory."""
+
 _PARAMS = http1connection.HTTP1ConnectionParameters(
     max_header_size=64 * 1024, max_body_size=64 * 1024 * 1024
 )
@@ -43,6 +47,7 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._chunks: list[bytes] = []
+        self._size = 0
 
     @property
     def body(self) -> bytes:
@@ -53,7 +58,14 @@
         """Ignores the head, which `EndpointClient.send` returns."""
 
     def data(self, chunk: bytes) -> None:
-        """Appends bytes to the body."""
+        """Appends bytes to the body.
+
+        Errors: `tornado.httputil.HTTPInputError` for a body that is too large;
+        the connection is closed then.
+        """
+        self._size += len(chunk)
+        if self._size > MAX_COLLECTED_BYTES:
+            raise httputil.HTTPInputError("body too large")
         self._chunks.append(chunk)
 
 
--- a/packages/seam_node/seam_node/forward/relay.py
+++ b/packages/seam_node/seam_node/forward/relay.py
@@ -3,12 +3,16 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from tornado import httputil
+
 from seam_model import forwarding
 from seam_node.forward import context
 from seam_node.forward import exchange
 from seam_node.ports import wire
 
 EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+"""Size of an event, which a resumable stream collects."""
 
 
 class StreamRelay(exchange.Receiver):
@@ -21,7 +25,7 @@
         self._ctx = ctx
         self._on_progress = on_progress
         self._head: forwarding.AnswerHead | None = None
-        self._buffered: list[bytes] = []
+        self._buffered = exchange.BodyCollector()
 
     def head(self, head: forwarding.AnswerHead) -> None:
         """Starts the caller's answer if this one may be forwarded."""
@@ -36,7 +40,7 @@
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         """Forwards or buffers bytes of the body."""
         if not self._should_stream():
-            self._buffered.append(chunk)
+            self._buffered.data(chunk)
             return None
         return self._forward(chunk)
 
@@ -49,9 +53,8 @@
             self._ctx.answer.abort()
             return
         self._ctx.status = head.status
-        body = b"".join(self._buffered)
         self._ctx.answer.send_complete(
-            head.status, head.reason, head.fields, body
+            head.status, head.reason, head.fields, self._buffered.body
         )
 
     def _should_stream(self) -> bool:
@@ -93,6 +96,8 @@
             EVENT_END
         )
         self._partial = partial
+        if len(partial) > MAX_EVENT_BYTES:
+            raise httputil.HTTPInputError("event too large")
         if not end:
             return None
         unsent_events = [
--- a/packages/seam_node/seam_node/forward/sockets.py
+++ b/packages/seam_node/seam_node/forward/sockets.py
@@ -6,13 +6,16 @@
 
 from seam_node.adapters import tcp
 
+MAX_BUFFER_BYTES = 8 * 1024 * 1024
+"""Limit of unread bytes; a body without a length is read as a whole."""
+
 
 class EndpointStream(iostream.IOStream):
     """A connection to an endpoint that can be checked before reuse."""
 
     def __init__(self, sock: socket.socket):
         """Takes a non-blocking socket."""
-        super().__init__(sock)
+        super().__init__(sock, max_buffer_size=MAX_BUFFER_BYTES)
         self.idle_until = 0.0
         """Event loop time until which the connection may stay idle."""
 
