Take a granted place back if its asker leaves at that moment

Cause: found by reading. A task that is cancelled after its grant, but before it runs again, left its stream in the ledger; for the placer's own requests no report ever removes it, so an engine would look fuller from then on. Red before (1 stream left after the caller was gone), green after. What a placer knows of the prompts of an instance that ended is dropped with its streams.

--- a/packages/seam_node/seam_node/forward/placement_service.py
+++ b/packages/seam_node/seam_node/forward/placement_service.py
@@ -145,6 +145,7 @@
             return False
         if incarnation != known:
             self._ledger.drop_holder(holder)
+            self._placer.forget(holder)
         self._incarnations[holder] = incarnation
         return True
 
@@ -181,4 +182,5 @@
             await asyncio.sleep(DROP_SILENT_INTERVAL_S)
             silent = self._ledger.drop_silent(self._now(), self._entry.name)
             for holder in silent:
+                self._placer.forget(holder)
                 self._log.event("streams_lapsed", "warning", holder=holder)
--- a/packages/seam_node/seam_node/forward/placer.py
+++ b/packages/seam_node/seam_node/forward/placer.py
@@ -111,6 +111,9 @@
         try:
             self._serve()
             return await waiting.answered
+        except asyncio.CancelledError:
+            self._take_back(waiting)
+            raise
         finally:
             self._leave(waiting)
 
@@ -128,6 +131,12 @@
             self._full_until.pop(ended.engine, None)
         self._serve()
 
+    def forget(self, holder: str) -> None:
+        """Drops what is known of the streams of an instance that ended."""
+        for stream_id in tuple(self._prefill_of):
+            if stream_id.holder == holder:
+                del self._prefill_of[stream_id]
+
     def retain_routes(self, route_names: set[str]) -> None:
         """Drops the statistics of all routes but these."""
         self._returning.retain(route_names)
@@ -172,6 +181,24 @@
             return
         self._queues[service].leave(waiting.ticket)
 
+    def _take_back(self, waiting: _Waiting) -> None:
+        """Frees a place that was granted as the asker left."""
+        answered = waiting.answered
+        if not answered.done() or answered.cancelled():
+            return
+        answer = answered.result()
+        if answer.state is messages.PlaceState.GRANTED:
+            ask = waiting.ask
+            self.ended(
+                messages.StreamEnded(
+                    ask.holder,
+                    ask.incarnation,
+                    ask.number,
+                    answer.decode,
+                    messages.Outcome.UNKNOWN,
+                )
+            )
+
     def _answer(self, waiting: _Waiting, answer: messages.PlaceAnswer) -> None:
         self._leave(waiting)
         if not waiting.answered.done():
--- a/tests/seam_node/forward/test_placement.py
+++ b/tests/seam_node/forward/test_placement.py
@@ -168,6 +168,21 @@
     placement_world.run(scenario)
 
 
+def test_a_grant_is_taken_back_if_its_asker_leaves_at_that_moment():
+    """The place would otherwise count until the instance ends."""
+
+    async def scenario(world):
+        first = world.placer
+        placing = asyncio.ensure_future(first.place())
+        await asyncio.sleep(0)
+        assert len(first.ledger) == 1
+        placing.cancel()
+        await asyncio.sleep(0.1)
+        assert len(first.ledger) == 0
+
+    placement_world.run(scenario)
+
+
 def test_a_caller_that_leaves_leaves_the_queue():
     async def scenario(world):
         first, asker = world.placer, world.others[0]
