Grant no place to a request that was cancelled

Cause: a request that was cancelled while it waited stays in the queue until its task runs again. A place that became free in between was granted to it and counted from then on.

--- a/packages/seam_node/seam_node/forward/placer.py
+++ b/packages/seam_node/seam_node/forward/placer.py
@@ -224,6 +224,9 @@
         blocked = {False: False, True: False}
         for ticket in queue:
             waiting = self._waiting[service, ticket]
+            if waiting.answered.done():
+                # The request was cancelled and leaves the queue next.
+                continue
             prefill_s = self._prefill_s(waiting, now)
             if not ticket.late and not waiting.limits.can_be_in_time(
                 now, prefill_s
