--- /dev/null
+++ b/packages/seam_node/seam_node/forward/fleet_placement.py
@@ -0,0 +1,133 @@
+"""Puts together what an instance needs to place requests for the fleet."""
+
+from collections.abc import Callable
+
+import attrs
+
+from seam_model import forwarding
+from seam_node.forward import coordinators
+from seam_node.forward import engine_access
+from seam_node.forward import engine_outcomes
+from seam_node.forward import messages
+from seam_node.forward import placement
+from seam_node.forward import placement_service
+from seam_node.forward import placer
+from seam_node.forward import prefill_engines
+from seam_node.forward import stream_reports
+from seam_node.forward import workload
+from seam_policy import stream_ledger
+
+
+@attrs.frozen
+class FleetView:
+    """How an instance sees the other ones and reaches them."""
+
+    own: Callable[[], messages.Heartbeat]
+    """Returns this instance's own heartbeat."""
+    live: Callable[[], list[messages.Heartbeat]]
+    """Returns the latest heartbeats of the live peers."""
+    entry_of: Callable[[str], forwarding.InstanceEntry | None]
+    """Returns the entry of an instance, by name."""
+    send: Callable[[messages.Message, forwarding.InstanceEntry], None]
+    """Sends a message to an instance; it may be lost."""
+
+
+class FleetPlacement:
+    """The placer of this instance, and its way to the placers of others."""
+
+    def __init__(
+        self,
+        entry: forwarding.InstanceEntry,
+        access: engine_access.EngineAccess,
+        fleet: FleetView,
+        load: workload.WorkloadEstimate,
+        engine_spec: Callable[[str], forwarding.EngineSpec | None],
+        one_way_delay_s: Callable[[str], float],
+        now: Callable[[], float],
+    ):
+        """Creates the parts.
+
+        Args:
+            entry: this instance.
+            access: the engines, their statistics and the log.
+            fleet: the other instances.
+            load: average size and output rate of requests.
+            engine_spec: returns the engines' capacity of a service.
+            one_way_delay_s: returns the one-way delay to a data centre.
+            now: the clock.
+        """
+        self._entry = entry
+        self._load = load
+        self.ledger = stream_ledger.StreamLedger(lambda: load.output_tokens_s)
+        self.outcomes = engine_outcomes.EngineOutcomes(
+            access.stats, now, access.log
+        )
+        self.coordinators = coordinators.Coordinators(
+            fleet.own, fleet.live, now, access.log
+        )
+        self.prefills = prefill_engines.PrefillEngines(
+            access, one_way_delay_s, now
+        )
+        self.placer = placer.Placer(
+            entry.name,
+            access,
+            self.ledger,
+            self.prefills,
+            engine_spec,
+            load,
+            now,
+        )
+        self.places = placement.Placement(
+            entry,
+            self.coordinators,
+            self.placer,
+            self.ledger,
+            access.endpoints,
+            self.outcomes,
+            fleet.send,
+            now,
+            access.log,
+        )
+        self._service = placement_service.PlacementService(
+            entry,
+            self.placer,
+            self.ledger,
+            self.outcomes,
+            load,
+            fleet.entry_of,
+            fleet.send,
+            now,
+            access.log,
+        )
+        self._reports = stream_reports.StreamReports(
+            entry, self.coordinators, self._report, fleet.send
+        )
+
+    async def start(self) -> None:
+        """Starts answering other instances and reporting to them."""
+        await self._service.start()
+        await self._reports.start()
+
+    async def close(self) -> None:
+        """Stops both."""
+        await self._reports.close()
+        await self._service.close()
+
+    def handlers(self) -> dict[type, Callable]:
+        """Returns the handlers of other instances' messages, by type."""
+        return {
+            messages.PlaceAsk: self._service.on_ask,
+            messages.PlaceAnswer: self.places.on_answer,
+            messages.PrefillEnded: self._service.on_prefill_ended,
+            messages.StreamEnded: self._service.on_ended,
+            messages.StreamReport: self._service.on_report,
+        }
+
+    def _report(self) -> messages.StreamReport:
+        return messages.StreamReport(
+            self._entry.name,
+            self._entry.incarnation,
+            self.places.streams(),
+            self.outcomes.excluded(),
+            self._load.own(),
+        )
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -20,30 +20,24 @@
 from seam_node.forward import catalog_state
 from seam_node.forward import catalog_watch
 from seam_node.forward import connections
-from seam_node.forward import coordinators
 from seam_node.forward import datagrams
 from seam_node.forward import engine_access
-from seam_node.forward import engine_outcomes
 from seam_node.forward import entry
 from seam_node.forward import exchange
 from seam_node.forward import feed_board
 from seam_node.forward import feed_client
 from seam_node.forward import feed_codec
 from seam_node.forward import feed_server
+from seam_node.forward import fleet_placement
 from seam_node.forward import forward_gauges
 from seam_node.forward import handler
 from seam_node.forward import holds
 from seam_node.forward import messages
 from seam_node.forward import peers
-from seam_node.forward import placement
-from seam_node.forward import placement_service
-from seam_node.forward import placer
-from seam_node.forward import prefill_engines
 from seam_node.forward import release_calls
 from seam_node.forward import request_sender
 from seam_node.forward import stages
 from seam_node.forward import store_link
-from seam_node.forward import stream_reports
 from seam_node.forward import suspend_watch
 from seam_node.forward import workload
 from seam_node.forward.filters import attempt
@@ -59,7 +53,6 @@
 from seam_node.ports import clock
 from seam_node.ports import wire
 from seam_policy import retry_share
-from seam_policy import stream_ledger
 from seam_policy import time_bounds
 
 NO_ORDER_POSITION = 10**6
@@ -284,66 +277,27 @@
             self.releases,
             self.log,
         )
-        self.outcomes = engine_outcomes.EngineOutcomes(
-            self.stats, self._now, self.log
+        self.fleet = fleet_placement.FleetPlacement(
+            self.entry,
+            self._engines,
+            fleet_placement.FleetView(
+                self._heartbeat,
+                self.peers.live,
+                self.peers.entry_of,
+                self._port.send,
+            ),
+            self.load,
+            self._engine_spec,
+            self.settings.one_way_s,
+            self._now,
         )
-        self._make_placement()
+        for kind_of_message, handle in self.fleet.handlers().items():
+            self._port.handle(kind_of_message, handle)
         self._make_feed()
         self.endpoints.on_ended = self._on_ended
         self.endpoints.on_stage = lambda each: self.stats.include(each.key)
         self._make_stages()
 
-    def _make_placement(self) -> None:
-        self.ledger = stream_ledger.StreamLedger(
-            lambda: self.load.output_tokens_s
-        )
-        self.coordinators = coordinators.Coordinators(
-            self._heartbeat, self.peers.live, self._now, self.log
-        )
-        self._prefill_engines = prefill_engines.PrefillEngines(
-            self._engines, self.settings.one_way_s, self._now
-        )
-        self.placer = placer.Placer(
-            self.entry.name,
-            self._engines,
-            self.ledger,
-            self._prefill_engines,
-            self._engine_spec,
-            self.load,
-            self._now,
-        )
-        self.placement = placement.Placement(
-            self.entry,
-            self.coordinators,
-            self.placer,
-            self.ledger,
-            self.endpoints,
-            self.outcomes,
-            self._port.send,
-            self._now,
-            self.log,
-        )
-        self._placement_service = placement_service.PlacementService(
-            self.entry,
-            self.placer,
-            self.ledger,
-            self.outcomes,
-            self.load,
-            self.peers.entry_of,
-            self._port.send,
-            self._now,
-            self.log,
-        )
-        self._stream_reports = stream_reports.StreamReports(
-            self.entry, self.coordinators, self._stream_report, self._port.send
-        )
-        service = self._placement_service
-        self._port.handle(messages.PlaceAsk, service.on_ask)
-        self._port.handle(messages.StreamEnded, service.on_ended)
-        self._port.handle(messages.PrefillEnded, service.on_prefill_ended)
-        self._port.handle(messages.StreamReport, service.on_report)
-        self._port.handle(messages.PlaceAnswer, self.placement.on_answer)
-
     def _make_feed(self) -> None:
         watches = {
             catalog.Kind.ROUTES: self._routes_watch,
@@ -352,7 +306,7 @@
         self._feed_client = feed_client.FeedClient(
             self.entry.name,
             watches,
-            self.coordinators,
+            self.fleet.coordinators,
             lambda: self._board.subscriber_count,
             time_bounds.source_max_age_s(self._apply_s),
             self._now,
@@ -400,7 +354,7 @@
                 self._routes_version,
                 self._endpoints_watch.age_s,
                 lambda: len(self.peers.live()),
-                lambda: len(self.placer),
+                lambda: len(self.fleet.placer),
                 lambda: self._conns.opened_count,
             ),
         )
@@ -411,21 +365,21 @@
             [
                 attempt.AttemptFilter(self.sender, self.log),
                 reserve.ReserveFilter(
-                    self.placement, holds.EngineHolds(self._engines)
+                    self.fleet.places, holds.EngineHolds(self._engines)
                 ),
                 prefill.PrefillFilter(
                     self._engines,
                     self.sender,
-                    self._prefill_engines,
-                    self.placement,
+                    self.fleet.prefills,
+                    self.fleet.places,
                     self.load,
                 ),
                 decode.DecodeFilter(
                     self.sender,
                     self.ports.wire,
-                    self.outcomes,
+                    self.fleet.outcomes,
                     self.load,
-                    self.placement,
+                    self.fleet.places,
                 ),
             ]
         )
@@ -453,8 +407,7 @@
             self._routes_watch,
             self._endpoints_watch,
             self.peers,
-            self._placement_service,
-            self._stream_reports,
+            self.fleet,
             self._feed_server,
             self._feed_client,
             self._suspend_watch,
@@ -494,23 +447,14 @@
             not self._store_link.unreachable,
         )
 
-    def _stream_report(self) -> messages.StreamReport:
-        return messages.StreamReport(
-            self.entry.name,
-            self.entry.incarnation,
-            self.placement.streams(),
-            self.outcomes.excluded(),
-            self.load.own(),
-        )
-
     def _order_position(self) -> int:
         """Returns how many coordinators precede this instance."""
-        position = self.coordinators.order_position(self.entry.name)
+        position = self.fleet.coordinators.order_position(self.entry.name)
         return NO_ORDER_POSITION if position is None else position
 
     def _on_routes(self, table: forwarding.RouteTable) -> None:
         self.caller_server.configure(table.limits)
-        self.placer.retain_routes({route.name for route in table.routes})
+        self.fleet.placer.retain_routes({route.name for route in table.routes})
 
     def _on_ended(self, endpoint: forwarding.Endpoint) -> None:
         self.stats.remove(endpoint)
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -239,7 +239,7 @@
         await world.until(lambda: decode.released)
         assert decode.released == ["/sycamoreseam/hold-drop/h1"]
         assert decode.ran == []
-        assert len(world.node.ledger) == 0
+        assert len(world.node.fleet.ledger) == 0
 
     forward_world.run_scenario(scenario)
 
@@ -272,7 +272,7 @@
         caller.close()
         async with asyncio.timeout(forward_world.WAIT_S):
             await gone.wait()
-        await world.until(lambda: len(world.node.ledger) == 0)
+        await world.until(lambda: len(world.node.fleet.ledger) == 0)
 
     forward_world.run_scenario(scenario)
 
@@ -315,7 +315,7 @@
 
         async def record_uses(endpoint, received, writer):
             if received.target.startswith("/sycamoreseam/hold-take"):
-                counted.append(len(world.node.ledger))
+                counted.append(len(world.node.fleet.ledger))
             await forward_endpoint.reply_engine(endpoint, received, writer)
 
         decode.reply = record_uses
@@ -339,7 +339,7 @@
 
         decode.reply = full
         assert (await request_model(world)).status == 503
-        assert len(world.node.ledger) == 0
+        assert len(world.node.fleet.ledger) == 0
 
     forward_world.run_scenario(scenario)
 
@@ -374,7 +374,7 @@
             (200, True),
             (200, True),
         ]
-        await world.until(lambda: len(world.node.ledger) == 0)
+        await world.until(lambda: len(world.node.fleet.ledger) == 0)
         assert world.logged("request_failed") == []
         for caller in callers:
             caller.close()
--- a/tests/standins/placement_world.py
+++ b/tests/standins/placement_world.py
@@ -11,19 +11,13 @@
 from seam_node.forward import call_stats
 from seam_node.forward import catalog_state
 from seam_node.forward import context
-from seam_node.forward import coordinators
 from seam_node.forward import engine_access
-from seam_node.forward import engine_outcomes
+from seam_node.forward import fleet_placement
 from seam_node.forward import message_codec
 from seam_node.forward import messages
 from seam_node.forward import placement
-from seam_node.forward import placement_service
-from seam_node.forward import placer
-from seam_node.forward import prefill_engines
-from seam_node.forward import stream_reports
 from seam_node.forward import workload
 from seam_node.ports import catalog
-from seam_policy import stream_ledger
 from standins import forward_heartbeats
 from standins import virtual_loop
 
@@ -97,58 +91,22 @@
         access = engine_access.EngineAccess(
             self.endpoints, self.stats, None, None, None, log
         )
-        self.load = workload.WorkloadEstimate(LOAD, now)
-        self.ledger = stream_ledger.StreamLedger(
-            lambda: self.load.output_tokens_s
-        )
-        self.order = coordinators.Coordinators(
-            self.heartbeat, self._live, now, log
-        )
-        self.prefills = prefill_engines.PrefillEngines(
-            access, lambda data_centre: 0.0, now
-        )
-        self.placer = placer.Placer(
-            name,
+        self.fleet = fleet_placement.FleetPlacement(
+            self.entry,
             access,
-            self.ledger,
-            self.prefills,
+            fleet_placement.FleetView(
+                self.heartbeat, self._live, world.entry_of, self.send
+            ),
+            workload.WorkloadEstimate(LOAD, now),
             lambda service: SPEC,
-            self.load,
-            now,
-        )
-        self.outcomes = engine_outcomes.EngineOutcomes(self.stats, now, log)
-        self.placement = placement.Placement(
-            self.entry,
-            self.order,
-            self.placer,
-            self.ledger,
-            self.endpoints,
-            self.outcomes,
-            self.send,
-            now,
-            log,
-        )
-        self.service = placement_service.PlacementService(
-            self.entry,
-            self.placer,
-            self.ledger,
-            self.outcomes,
-            self.load,
-            world.entry_of,
-            self.send,
+            lambda data_centre: 0.0,
             now,
-            log,
         )
-        self.reports = stream_reports.StreamReports(
-            self.entry, self.order, self._report, self.send
-        )
-        self._handlers = {
-            messages.PlaceAsk: self.service.on_ask,
-            messages.PlaceAnswer: self.placement.on_answer,
-            messages.PrefillEnded: self.service.on_prefill_ended,
-            messages.StreamEnded: self.service.on_ended,
-            messages.StreamReport: self.service.on_report,
-        }
+        self.ledger = self.fleet.ledger
+        self.order = self.fleet.coordinators
+        self.placer = self.fleet.placer
+        self.placement = self.fleet.places
+        self._handlers = self.fleet.handlers()
 
     @property
     def name(self) -> str:
@@ -190,15 +148,6 @@
             if each is not self and each.name not in self.world.known_dead
         ]
 
-    def _report(self) -> messages.StreamReport:
-        return messages.StreamReport(
-            self.name,
-            self.entry.incarnation,
-            self.placement.streams(),
-            self.outcomes.excluded(),
-            self.load.own(),
-        )
-
 
 class World:
     """A fleet whose instances see each other as live."""
@@ -268,13 +217,11 @@
 
     async def start(self) -> None:
         for each in self.instances.values():
-            await each.service.start()
-            await each.reports.start()
+            await each.fleet.start()
 
     async def close(self) -> None:
         for each in self.instances.values():
-            await each.reports.close()
-            await each.service.close()
+            await each.fleet.close()
 
 
 def run(scenario, **options) -> None:
