Log refusals of the placer and explain requests placed elsewhere

Cause: a refusal by the placer left a line only at the instance that asked, so the reason could not be told from logs; explain showed no change of the placer.

--- a/packages/seam_ctl/seam_ctl/request_log.py
+++ b/packages/seam_ctl/seam_ctl/request_log.py
@@ -11,6 +11,8 @@
 """Time before a request's first line from which other events are shown."""
 CONTEXT_EVENTS = frozenset(
     {
+        "coordinator_changed",
+        "coordinator_suspected",
         "endpoint_changed",
         "instance_leaving",
         "instance_started",
@@ -18,9 +20,11 @@
         "instance_thawed",
         "peer_lost",
         "routes_in_force",
+        "source_changed",
         "stage_ordered",
         "store_lost",
         "store_regained",
+        "streams_lapsed",
     }
 )
 """Events that changed an instance's view of the fleet or its own state."""
--- a/packages/seam_node/seam_node/forward/placer.py
+++ b/packages/seam_node/seam_node/forward/placer.py
@@ -271,6 +271,19 @@
         now: float,
     ) -> None:
         max_retry_s = MAX_RETRY_AFTER_SHARE * self._remaining_s(waiting, now)
+        retry_after_s = self._return_times.assign(now, interval_s, max_retry_s)
+        count = len(engines.allowed) if engines else 0
+        self._log.event(
+            "place_refused",
+            request=waiting.ask.request_id,
+            holder=waiting.ask.holder,
+            late=waiting.ticket.late,
+            queued=len(self._waiting),
+            engines=count,
+            place_each_s=round(interval_s, 4),
+            waited_s=round(now - waiting.limits.arrived_at, 4),
+            retry_after_s=round(retry_after_s, 3),
+        )
         self._answer(
             waiting,
             messages.PlaceAnswer(
@@ -278,10 +291,8 @@
                 waiting.ask.number,
                 messages.PlaceState.FULL,
                 late=waiting.ticket.late,
-                retry_after_s=self._return_times.assign(
-                    now, interval_s, max_retry_s
-                ),
-                engines=len(engines.allowed) if engines else 0,
+                retry_after_s=retry_after_s,
+                engines=count,
             ),
         )
 
--- a/tests/seam_ctl/test_worked_cases.py
+++ b/tests/seam_ctl/test_worked_cases.py
@@ -1,13 +1,16 @@
 """Runs the worked cases of docs/OPERATIONS.md and explains their requests."""
 
+import asyncio
 import pathlib
 
+import eliot
 from typer import testing
 
 from seam_ctl import main
 from seam_node import logs
 from standins import forward_endpoint
 from standins import forward_world
+from standins import placement_world
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
@@ -106,3 +109,62 @@
     printed = explain_scenario(scenario, tmp_path)
     for words in ("no_decode_place", '"may_have_run":"false"'):
         assert words in printed
+
+
+def explain_placement(scenario, request, tmp_path, **options):
+    """Runs a fleet that places requests; explains one from all logs."""
+    events = []
+    eliot.add_destinations(events.append)
+    try:
+        placement_world.run(scenario, **options)
+    finally:
+        eliot.remove_destination(events.append)
+    by_instance = {}
+    for event in events:
+        lines = by_instance.setdefault(event["instance"], [])
+        lines.append(logs.format_event(event))
+    arguments = ["explain", request, "--json"]
+    for name, lines in by_instance.items():
+        file = tmp_path / f"{name}.log"
+        file.write_text("\n".join(lines))
+        arguments += ["--logs", str(file)]
+    result = testing.CliRunner().invoke(main.app, arguments)
+    assert result.exit_code == 0, result.output
+    return result.output
+
+
+def test_a_draft_that_another_instance_placed(tmp_path):
+    names = {}
+
+    async def scenario(world):
+        first, asker = world.placer, world.others[0]
+        world.silent.add(first.name)
+        placed, _ = await asker.place("case-1")
+        names["placer"] = placed.ok.placer
+        names["suspected"] = first.name
+
+    printed = explain_placement(scenario, "case-1", tmp_path)
+    for words in (
+        "place_granted",
+        "used_tokens",
+        f'"placer":"{names["placer"]}"',
+        "coordinator_suspected",
+        f'"peer":"{names["suspected"]}"',
+    ):
+        assert words in printed
+
+
+def test_a_draft_that_another_instance_refused(tmp_path):
+    async def scenario(world):
+        fill = [
+            asyncio.ensure_future(world.placer.place(f"full-{number}"))
+            for number in range(20)
+        ]
+        placed, _ = await world.others[0].place("case-2")
+        assert placed.is_error()
+        for each in fill:
+            each.cancel()
+
+    printed = explain_placement(scenario, "case-2", tmp_path, decode=1)
+    for words in ("place_refused", "place_each_s", "retry_after_s"):
+        assert words in printed
