Move what is known of decode engines out of the placer

Cause: placer.py held the queue, the choice of engines and their back-off in 485 lines. No behaviour changes; tests of seam_node/forward pass.

--- /dev/null
+++ b/packages/seam_node/seam_node/forward/decode_engines.py
@@ -0,0 +1,114 @@
+"""The decode engines that a request may use, and what is known of them."""
+
+from collections.abc import Callable
+import math
+
+import attrs
+
+from seam_model import forwarding
+from seam_node.forward import engine_access
+from seam_node.forward import messages
+from seam_node.forward import workload
+from seam_policy import decode_choice
+from seam_policy import rendezvous
+from seam_policy import stage_balance
+from seam_policy import stream_ledger
+
+FULL_BACKOFF_S = 0.08
+"""Back-off after an engine refused to hold a place."""
+
+
+@attrs.frozen
+class UsableEngines:
+    """The decode engines of a service that a request may use."""
+
+    spec: forwarding.EngineSpec
+    endpoints: tuple[forwarding.Endpoint, ...]
+
+    def by_key(self, key: str) -> forwarding.Endpoint:
+        """Returns the engine with a key."""
+        return next(each for each in self.endpoints if each.key == key)
+
+
+class DecodeEngines:
+    """The decode engines of all services, as seen by this instance."""
+
+    def __init__(
+        self,
+        access: engine_access.EngineAccess,
+        ledger: stream_ledger.StreamLedger,
+        engine_spec: Callable[[str], forwarding.EngineSpec | None],
+        load: workload.WorkloadEstimate,
+    ):
+        """Takes the engines, the streams at them, their capacity and the load.
+
+        Args:
+            access: the engines and their statistics.
+            ledger: the streams of all instances.
+            engine_spec: returns the engines' capacity of a service.
+            load: average size and output rate of requests.
+        """
+        self._endpoints = access.endpoints
+        self._stats = access.stats
+        self._ledger = ledger
+        self._engine_spec = engine_spec
+        self._load = load
+        self._full_until: dict[str, float] = {}
+
+    def note_full(self, key: str, now: float) -> None:
+        """Notes that an engine refused to hold a place."""
+        self._full_until[key] = now + FULL_BACKOFF_S
+
+    def note_served(self, key: str) -> None:
+        """Notes that an engine finished a stream, so that it has a place."""
+        self._full_until.pop(key, None)
+
+    def usable(
+        self, ask: messages.PlaceAsk, now: float
+    ) -> UsableEngines | None:
+        """Returns the engines for a request; None if there are none."""
+        spec = self._engine_spec(ask.service)
+        excluded = self._stats.excluded(now)
+        allowed = [
+            each
+            for each in self._endpoints.usable(ask.service)
+            if each.stage is forwarding.Stage.DECODE
+            and each.key not in excluded
+            and (not ask.only or each.key in ask.only)
+        ]
+        if spec is None or not allowed:
+            return None
+        others = [each for each in allowed if each.key not in ask.avoid]
+        preferred = self._stats.preferred(others or allowed, now)
+        return UsableEngines(spec, tuple(preferred))
+
+    def candidates(
+        self, ask: messages.PlaceAsk, engines: UsableEngines, now: float
+    ) -> list[decode_choice.DecodeCandidate]:
+        """Returns the state of each engine, for the choice among them."""
+        seed = ask.request_id.encode()
+        return [
+            decode_choice.DecodeCandidate(
+                key=each.key,
+                slots=engines.spec.slots,
+                kv_tokens=engines.spec.kv_tokens,
+                used=self._ledger.profile(each.key, now),
+                local=each.data_centre == ask.data_centre,
+                full_until=self._full_until.get(each.key, 0.0),
+                failure_share=self._stats.call(each).failure_share(now),
+                jitter=rendezvous.uniform(seed, each.key),
+            )
+            for each in engines.endpoints
+        ]
+
+    def interval_s(self, engines: UsableEngines | None) -> float:
+        """Returns the average time between two places that become free."""
+        if engines is None:
+            return math.inf
+        size = stage_balance.EngineSize(
+            engines.spec.slots, engines.spec.kv_tokens
+        )
+        rate = stage_balance.decode_rate(
+            len(engines.endpoints), size, self._load.current()
+        )
+        return 1.0 / rate
--- a/packages/seam_node/seam_node/forward/fleet_placement.py
+++ b/packages/seam_node/seam_node/forward/fleet_placement.py
@@ -6,6 +6,7 @@
 
 from seam_model import forwarding
 from seam_node.forward import coordinators
+from seam_node.forward import decode_engines
 from seam_node.forward import engine_access
 from seam_node.forward import engine_outcomes
 from seam_node.forward import messages
@@ -70,12 +71,14 @@
         )
         self.placer = placer.Placer(
             entry.name,
-            access,
             self.ledger,
+            decode_engines.DecodeEngines(
+                access, self.ledger, engine_spec, load
+            ),
             self.prefills,
-            engine_spec,
             load,
             now,
+            access.log,
         )
         self.places = placement.Placement(
             entry,
--- a/packages/seam_node/seam_node/forward/placer.py
+++ b/packages/seam_node/seam_node/forward/placer.py
@@ -6,12 +6,12 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import engine_access
+from seam_node import logs
+from seam_node.forward import decode_engines
 from seam_node.forward import messages
 from seam_node.forward import prefill_engines
 from seam_node.forward import workload
@@ -19,16 +19,12 @@
 from seam_policy import kv_forecast
 from seam_policy import output_length
 from seam_policy import place_queue
-from seam_policy import rendezvous
 from seam_policy import retry_after_schedule
 from seam_policy import returning_callers
-from seam_policy import stage_balance
 from seam_policy import stream_ledger
 
 SERVE_INTERVAL_S = 0.025
 """Interval at which waiting requests are tried again."""
-FULL_BACKOFF_S = 0.08
-"""Back-off after an engine refused to hold a place."""
 MAX_RETRY_AFTER_SHARE = 0.33
 """Upper bound of Retry-After, as a share of the request's remaining time."""
 LATE_MAX_PREFILL_QUEUE_S = 0.15
@@ -50,50 +46,39 @@
     ticket: place_queue.Ticket
 
 
-@attrs.frozen
-class _Engines:
-    """The decode engines that a request may use."""
-
-    spec: forwarding.EngineSpec
-    allowed: tuple[forwarding.Endpoint, ...]
-
-
 class Placer:
     """Queues requests for places and grants them in order."""
 
     def __init__(
         self,
         name: str,
-        access: engine_access.EngineAccess,
         ledger: stream_ledger.StreamLedger,
+        decodes: decode_engines.DecodeEngines,
         prefills: prefill_engines.PrefillEngines,
-        engine_spec: Callable[[str], forwarding.EngineSpec | None],
         load: workload.WorkloadEstimate,
         now: Callable[[], float],
+        log: logs.Log,
     ):
         """Creates a placer with empty queues.
 
         Args:
             name: name of this instance.
-            access: the engines, their statistics and the log.
             ledger: the streams of all instances.
+            decodes: the decode engines.
             prefills: the prefill engines and their queues.
-            engine_spec: returns the engines' capacity of a service.
             load: average size and output rate of requests.
             now: the clock.
+            log: where grants and refusals are logged.
         """
         self._name = name
-        self._endpoints = access.endpoints
-        self._stats = access.stats
-        self._log = access.log
+        self._log = log
         self._ledger = ledger
         self._prefills = prefills
-        self._engine_spec = engine_spec
+        self._decodes = decodes
         self._load = load
         self._now = now
         self._queues: dict[str, place_queue.PlaceQueue] = {}
         self._waiting: dict[tuple[str, place_queue.Ticket], _Waiting] = {}
-        self._full_until: dict[str, float] = {}
         self._prefill_of: dict[stream_ledger.StreamId, str] = {}
         """Keys of the prefill engines of the streams granted here."""
         self._output_lengths = output_length.OutputLengthEstimator()
@@ -126,9 +111,9 @@
             # The prompt was not prefilled, or the message about it was lost.
             self._prefills.complete(prefill, stream_id)
         if ended.outcome is messages.Outcome.FULL:
-            self._full_until[ended.engine] = self._now() + FULL_BACKOFF_S
+            self._decodes.note_full(ended.engine, self._now())
         elif ended.outcome is messages.Outcome.SERVED:
-            self._full_until.pop(ended.engine, None)
+            self._decodes.note_served(ended.engine)
         self._serve()
 
     def forget(self, holder: str) -> None:
@@ -254,8 +239,8 @@
             if not ticket.late:
                 continue
             waiting = self._waiting[service, ticket]
-            engines = self._engines(waiting.ask, now)
-            interval_s = self._interval_s(engines)
+            engines = self._decodes.usable(waiting.ask, now)
+            interval_s = self._decodes.interval_s(engines)
             time_left_s = min(
                 waiting.limits.time_left_s(now, self._prefill_s(waiting, now)),
                 self._remaining_s(waiting, now),
@@ -266,13 +251,13 @@
     def _refuse(
         self,
         waiting: _Waiting,
-        engines: _Engines | None,
+        engines: decode_engines.UsableEngines | None,
         interval_s: float,
         now: float,
     ) -> None:
         max_retry_s = MAX_RETRY_AFTER_SHARE * self._remaining_s(waiting, now)
         retry_after_s = self._return_times.assign(now, interval_s, max_retry_s)
-        count = len(engines.allowed) if engines else 0
+        count = len(engines.endpoints) if engines else 0
         self._log.event(
             "place_refused",
             request=waiting.ask.request_id,
@@ -301,7 +286,7 @@
     def _try(self, waiting: _Waiting, now: float) -> bool:
         """Grants a place if there is one; returns whether it was answered."""
         ask = waiting.ask
-        engines = self._engines(ask, now)
+        engines = self._decodes.usable(ask, now)
         if engines is None:
             answer = messages.PlaceAnswer(
                 self._name, ask.number, messages.PlaceState.NO_ENGINE
@@ -314,15 +299,13 @@
                 waiting.size, 0.0, self._load.output_tokens_s
             ),
         )
-        candidates = self._candidates(ask, engines, now)
+        candidates = self._decodes.candidates(ask, engines, now)
         ordered = decode_choice.order(candidates, required, now)
         if waiting.ticket.late:
             ordered = self._choose_late(waiting, ordered, required, now)
         if not ordered:
             return False
-        decode = next(
-            each for each in engines.allowed if each.key == ordered[0].key
-        )
+        decode = engines.by_key(ordered[0].key)
         self._grant(waiting, decode, ordered[0], now)
         return True
 
@@ -394,41 +377,6 @@
             ),
         )
 
-    def _engines(self, ask: messages.PlaceAsk, now: float) -> _Engines | None:
-        """Returns the usable decode engines; None if there are none."""
-        spec = self._engine_spec(ask.service)
-        excluded = self._stats.excluded(now)
-        allowed = [
-            each
-            for each in self._endpoints.usable(ask.service)
-            if each.stage is forwarding.Stage.DECODE
-            and each.key not in excluded
-            and (not ask.only or each.key in ask.only)
-        ]
-        if spec is None or not allowed:
-            return None
-        others = [each for each in allowed if each.key not in ask.avoid]
-        preferred = self._stats.preferred(others or allowed, now)
-        return _Engines(spec, tuple(preferred))
-
-    def _candidates(
-        self, ask: messages.PlaceAsk, engines: _Engines, now: float
-    ) -> list[decode_choice.DecodeCandidate]:
-        seed = ask.request_id.encode()
-        return [
-            decode_choice.DecodeCandidate(
-                key=each.key,
-                slots=engines.spec.slots,
-                kv_tokens=engines.spec.kv_tokens,
-                used=self._ledger.profile(each.key, now),
-                local=each.data_centre == ask.data_centre,
-                full_until=self._full_until.get(each.key, 0.0),
-                failure_share=self._stats.call(each).failure_share(now),
-                jitter=rendezvous.uniform(seed, each.key),
-            )
-            for each in engines.allowed
-        ]
-
     # Times
 
     def _prefill_s(self, waiting: _Waiting, now: float) -> float:
@@ -441,18 +389,6 @@
         speed = IN_PLACE_PREFILL_SPEED * self._load.current().prefill_tokens_s
         return ask.prompt_tokens / speed
 
-    def _interval_s(self, engines: _Engines | None) -> float:
-        """Returns the average time between two places that become free."""
-        if engines is None:
-            return math.inf
-        size = stage_balance.EngineSize(
-            engines.spec.slots, engines.spec.kv_tokens
-        )
-        rate = stage_balance.decode_rate(
-            len(engines.allowed), size, self._load.current()
-        )
-        return 1.0 / rate
-
     def _remaining_s(self, waiting: _Waiting, now: float) -> float:
         """Returns the time until the request's deadline."""
         ask = waiting.ask
