--- a/packages/seam_node/seam_node/forward/suspend_watch.py
+++ b/packages/seam_node/seam_node/forward/suspend_watch.py
@@ -1,4 +1,8 @@
-"""Detects that the process was suspended."""
+"""Detects that the process did not run for a while.
+
+Either the machine was suspended, which only one of its clocks counts, or the
+process alone was frozen, so that its timers fire late.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -11,7 +15,7 @@
 
 
 class SuspendWatch:
-    """Compares a clock that includes suspended time with the event loop's."""
+    """Watches a clock that includes suspended time."""
 
     def __init__(
         self,
@@ -36,13 +40,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        offset_s = self._now() - loop.time()
+        checked_at = self._now()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            current_s = self._now() - loop.time()
-            lost_s = current_s - offset_s
-            offset_s = current_s
+            lost_s = self._now() - checked_at - CHECK_INTERVAL_S
+            checked_at = self._now()
             if lost_s >= MIN_SUSPENSION_S:
                 self._log.event(
                     "instance_thawed",
--- a/tests/seam_node/forward/test_suspend_watch.py
+++ b/tests/seam_node/forward/test_suspend_watch.py
@@ -52,3 +52,18 @@
         assert suspensions == []
 
     run_scenario(scenario)
+
+
+def test_a_frozen_process_is_reported_though_its_clock_went_on():
+    """A freeze of the process alone: every timer fires late."""
+
+    async def scenario(clock, suspensions):
+        asyncio.get_running_loop().call_later(0.1, freeze, 7.5)
+        await asyncio.sleep(8.0)
+        assert suspensions == [pytest.approx(7.5, abs=0.3)]
+
+    def freeze(seconds):
+        # Time passes on the loop's own clock while no callback runs.
+        asyncio.get_running_loop().advance(seconds)
+
+    run_scenario(scenario)
--- a/tests/standins/virtual_loop.py
+++ b/tests/standins/virtual_loop.py
@@ -43,13 +43,14 @@
         self._virtual_s = 0.0
         selector = _AdvancingSelector()
         super().__init__(selector)
-        selector.advance = self._advance
+        selector.advance = self.advance
 
     def time(self) -> float:
         """Returns virtual seconds since the loop was created."""
         return self._virtual_s
 
-    def _advance(self, timeout_s: float) -> None:
+    def advance(self, timeout_s: float) -> None:
+        """Lets time pass while no callback runs."""
         self._virtual_s += timeout_s
 
 
