--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/context.py
@@ -126,12 +126,6 @@
         """Returns the seconds since arrival."""
         return self.now() - self.arrived_at
 
-    def may_try(self, key: str) -> bool:
-        """Returns whether the route allows a send to this endpoint."""
-        if key in self.tried:
-            return True
-        return len(set(self.tried)) < self.route.max_attempts
-
     def engine_rank(self) -> int:
         """Returns the request's priority at engines, lowest first."""
         return 2 * self.route.rank + self.late
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -19,7 +19,7 @@
 """Wait for the first event after which a cancelled stream counts as a failure
 of the engine."""
 RATE_AFTER_S = 0.6
-"""Duration after which the output rate of a stream is measured."""
+"""Duration after which the output rate of a stream is recorded."""
 _ENGINE_FAILURES = (errors.EndpointLost, errors.AnswerInvalid)
 
 
--- a/packages/seam_node/seam_node/forward/messages.py
+++ b/packages/seam_node/seam_node/forward/messages.py
@@ -49,7 +49,7 @@
 
 @attrs.frozen
 class WorkloadMeans:
-    """What one instance measured of its model requests."""
+    """What one instance observed of its model requests."""
 
     prompt_tokens: estimate.Mean = estimate.NO_SAMPLES
     output_tokens: estimate.Mean = estimate.NO_SAMPLES
--- a/packages/seam_node/seam_node/forward/placement_service.py
+++ b/packages/seam_node/seam_node/forward/placement_service.py
@@ -57,7 +57,7 @@
             own_placer: grants the places.
             ledger: the streams of all instances.
             outcomes: told how engines did at other instances.
-            load: told what other instances measured.
+            load: told what other instances observed.
             address_of: returns the entry of an instance.
             send: sends a message to an instance.
             now: the clock.
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -200,9 +200,9 @@
         size = stage_balance.EngineSize(
             spec.engine.slots, spec.engine.kv_tokens
         )
-        measured = self._load.is_known()
-        load = self._load.current() if measured else self._load.expected()
-        target = stage_balance.target_split(current, size, load, measured)
+        observed = self._load.is_known()
+        load = self._load.current() if observed else self._load.expected()
+        target = stage_balance.target_split(current, size, load, observed)
         if target.prefill == current.prefill:
             return None
         donors, stage = (
--- a/packages/seam_node/seam_node/forward/workload.py
+++ b/packages/seam_node/seam_node/forward/workload.py
@@ -23,7 +23,7 @@
 
 
 class WorkloadEstimate:
-    """Pools what this instance measures with what the others report.
+    """Pools what this instance observes with what the others report.
 
     One instance of a large fleet sees few requests. Until there are samples,
     the figures of the settings are used.
@@ -62,7 +62,7 @@
         self._prefill_tokens_s.add(tokens_s, 1.0)
 
     def own(self) -> messages.WorkloadMeans:
-        """Returns what this instance measured, for its messages."""
+        """Returns what this instance observed, for its messages."""
         return messages.WorkloadMeans(
             self._prompt_tokens.mean,
             self._output_tokens.mean,
@@ -71,7 +71,7 @@
         )
 
     def merge(self, peer: str, means: messages.WorkloadMeans) -> None:
-        """Records what another instance measured."""
+        """Records what another instance observed."""
         self._peers[peer] = _PeerMeans(means, self._now())
 
     @property
@@ -102,7 +102,7 @@
         )
 
     def is_known(self) -> bool:
-        """Returns whether enough requests were measured to act on them."""
+        """Returns whether enough requests were observed to act on them."""
         all_means = self._all()
         return all(
             sum(getattr(each, name).weight for each in all_means) >= MIN_SAMPLES
--- a/packages/seam_policy/seam_policy/stage_balance.py
+++ b/packages/seam_policy/seam_policy/stage_balance.py
@@ -70,18 +70,18 @@
 
 
 def target_split(
-    current: StageSplit, size: EngineSize, load: Workload, measured: bool = True
+    current: StageSplit, size: EngineSize, load: Workload, observed: bool = True
 ) -> StageSplit:
     """Returns the split to move to; the current one if the gain is too small.
 
     A stage without an engine always gets one. A single engine becomes a decode
     engine, because decode engines can also prefill prompts themselves. If the
-    load is assumed rather than measured, some engines stay in each stage.
+    load is assumed rather than observed, some engines stay in each stage.
     """
     if current.total < 2:
         return StageSplit(0, current.total)
     min_prefill = 1
-    if not measured:
+    if not observed:
         share = MIN_ASSUMED_PREFILL_SHARE * current.total
         min_prefill = min(math.ceil(share), current.total - 1)
     splits = [
--- a/tests/seam_policy/test_stage_balance.py
+++ b/tests/seam_policy/test_stage_balance.py
@@ -70,7 +70,7 @@
     """Guards against a split that fits no load but the assumed one."""
     size = stage_balance.EngineSize(64, 34_618)
     split = stage_balance.StageSplit(4, 5)
-    assumed = stage_balance.target_split(split, size, LOAD, measured=False)
+    assumed = stage_balance.target_split(split, size, LOAD, observed=False)
     assert (assumed.prefill, assumed.decode) == (2, 7)
     pair = stage_balance.StageSplit(1, 1)
-    assert stage_balance.target_split(pair, size, LOAD, measured=False) == pair
+    assert stage_balance.target_split(pair, size, LOAD, observed=False) == pair
