Stop the placer for long enough in the test of a stopped process

Trace: the log of the stopped process has a gap of 0.41 s only; the drafts and the configuration of the others were through sooner than the half second from which a stop counts as a suspension. The check itself is unchanged. Change: the process stays stopped for 2 s.

--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -15,6 +15,7 @@
 NAMES = ("one", "two", "three")
 TIMEOUT_S = 40.0
 MAX_DRAFT_S = 2.0
+STOP_S = 2.0
 
 
 def free_port():
@@ -164,6 +165,7 @@
         await expect_drafts(fleet.members)
         lost, others = fleet.placer, fleet.others
         lost.signal(number)
+        lost_at = time.monotonic()
         await expect_drafts([*others, *others])
         plain = forward_world.configuration(
             5, [*forward_world.DEFAULT_ROUTES[1:]]
@@ -178,6 +180,8 @@
         )
         assert time.monotonic() - changed_at <= 2.0
         if number == signal.SIGSTOP:
+            # A shorter stop does not count as a suspension.
+            await asyncio.sleep(max(0.0, lost_at + STOP_S - time.monotonic()))
             lost.signal(signal.SIGCONT)
             await fleet.until(lambda: lost.logged("instance_thawed"))
             await fleet.until(
