Log the store's era and the position that watches go on from

New lines store_restored, store_listed and watch_crossed_restore; source_changed names the revisions that are known; metric seam_store_era. A position is the pair of era and revision; it is only logged here, all comparisons are as before. The stand-in of the store can be restored from a copy.

--- a/packages/seam_node/seam_node/adapters/curl.py
+++ b/packages/seam_node/seam_node/adapters/curl.py
@@ -1,8 +1,10 @@
 """The curl client that the HTTP adapters share."""
 
 import asyncio
+from collections.abc import Mapping
 import os
 import socket
+import types
 
 import attrs
 import pycurl
@@ -35,6 +37,7 @@
     body: bytes
     content_type: str = ""
     maybe_sent: bool = True
+    headers: Mapping[str, str] = types.MappingProxyType({})
 
 
 def make_client() -> httpclient.AsyncHTTPClient:
@@ -148,4 +151,5 @@
         resp.code,
         resp.body or b"",
         resp.headers.get("Content-Type", ""),
+        headers=resp.headers,
     )
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -4,12 +4,14 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 import expression
 
 from seam_model import errors
 from seam_node.forward import feed_board
 from seam_node.forward import store_link
 from seam_node.ports import catalog
+from seam_policy import store_position
 
 LIST_TIMEOUT_S = 1.0
 COALESCE_S = 0.1
@@ -74,7 +76,8 @@
         self._now = now
         self._names: set[str] = set()
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
-        self._revision: int | None = None
+        self._position: store_position.Position | None = None
+        """Where the next watch goes on; None to list the objects first."""
         self._task: asyncio.Task | None = None
         self.answered_at: float | None = None
         """Time of the store's last answer; None before the first listing."""
@@ -103,7 +106,7 @@
     def resume(self) -> None:
         """Lists and watches again unless that is being done."""
         if self._task is None or self._task.done():
-            self._revision = None
+            self._position = None
             self._task = asyncio.ensure_future(self._run())
 
     def pause(self, revision: int, age_s: float) -> None:
@@ -137,7 +140,7 @@
     async def _run(self) -> None:
         backoff_s = BACKOFF_INITIAL_S
         while True:
-            if self._revision is not None and self._first_watch_delay_s:
+            if self._position is not None and self._first_watch_delay_s:
                 delay_s, self._first_watch_delay_s = (
                     self._first_watch_delay_s,
                     0.0,
@@ -159,7 +162,7 @@
         """Lists or watches once; a probe of an unreachable store lists."""
         if is_probe:
             return await self._list(self._link.probe_timeout_s())
-        if self._revision is None:
+        if self._position is None:
             return await self._list(LIST_TIMEOUT_S)
         return await self._watch()
 
@@ -173,16 +176,19 @@
             self._schedule_removal(name)
         for entry in listed.ok.entries:
             self._add(entry)
-        self._note_revision(listed.ok.revision)
+        self._link.log_listing(
+            self._kind, listed.ok.position, self._position, len(present)
+        )
+        self._note_position(listed.ok.position)
         return expression.Ok(None)
 
     async def _watch(self) -> Done:
         watched = await self._source.watch(
-            self._kind, self._revision, self._wait_s()
+            self._kind, self._position.revision, self._wait_s()
         )
         if watched.is_error():
             if isinstance(watched.error, errors.HistoryGone):
-                self._revision = None
+                self._position = None
                 return expression.Ok(None)
             return self._record_failure(watched.error)
         self._note_answer()
@@ -191,7 +197,11 @@
                 self._schedule_removal(change.entry.name)
             else:
                 self._add(change.entry)
-        self._note_revision(max(self._revision, watched.ok.revision))
+        position = watched.ok.position
+        if position.era != self._position.era:
+            self._link.log_crossing(self._kind, self._position, position)
+        revision = max(self._position.revision, position.revision)
+        self._note_position(attrs.evolve(position, revision=revision))
         if watched.ok.changes:
             await asyncio.sleep(COALESCE_S)
         return expression.Ok(None)
@@ -234,9 +244,10 @@
         self._link.record_failure(error)
         return expression.Error(error)
 
-    def _note_revision(self, revision: int) -> None:
-        self._revision = revision
-        self.known_revision = max(self.known_revision, revision)
+    def _note_position(self, position: store_position.Position) -> None:
+        self._position = position
+        self._link.note_era(position.era)
+        self.known_revision = max(self.known_revision, position.revision)
 
     def _note_answer(self) -> None:
         self.answered_at = self._now()
--- a/packages/seam_node/seam_node/forward/feed_client.py
+++ b/packages/seam_node/seam_node/forward/feed_client.py
@@ -182,7 +182,11 @@
     def _set_source(self, source: str) -> None:
         if source != self._source:
             self._log.event(
-                "source_changed", source=source or "store", before=self._source
+                "source_changed",
+                source=source or "store",
+                before=self._source,
+                routes=self._watches[catalog.Kind.ROUTES].known_revision,
+                endpoints=self._watches[catalog.Kind.ENDPOINTS].known_revision,
             )
             self._source = source
 
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -18,6 +18,8 @@
     """Requests queued for decode capacity."""
     connections_opened: Callable[[], float]
     """Connections to endpoints opened since the start."""
+    store_era: Callable[[], float]
+    """How often the store came back from a copy."""
     quarantined_prompts: Callable[[], float]
     """Combinations of prompt parts that are kept from engines."""
 
@@ -50,6 +52,11 @@
             "Connections to endpoints opened since the start.",
             sources.connections_opened,
         ),
+        (
+            "seam_store_era",
+            "Latest era of the store; a rise means a restore from a copy.",
+            sources.store_era,
+        ),
         (
             "seam_quarantined_prompts",
             "Combinations of prompt parts that are kept from engines.",
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -365,6 +365,7 @@
                 lambda: len(self.peers.live()),
                 lambda: len(self.fleet.placer),
                 lambda: self._conns.opened_count,
+                lambda: self._store_link.era,
                 lambda: len(self.fleet.prompts),
             ),
         )
--- a/packages/seam_node/seam_node/forward/store_link.py
+++ b/packages/seam_node/seam_node/forward/store_link.py
@@ -5,6 +5,8 @@
 
 from seam_model import errors
 from seam_node import logs
+from seam_node.ports import catalog
+from seam_policy import store_position
 
 PROBE_TIMEOUTS_S = (0.5, 1.0)
 """Alternating timeouts of probes while the store is unreachable; the longer
@@ -43,6 +45,8 @@
         self._probe_count = 0
         self.recovered_at = float("-inf")
         """Time at which the last outage was found to have ended."""
+        self.era = 0
+        """Latest era of the store that was heard of; 0 if none."""
 
     @property
     def unreachable(self) -> bool:
@@ -72,6 +76,45 @@
             self._reachable.set()
             self._log.event("store_bypassed", probes=self._probe_count)
 
+    def note_era(self, era: int) -> None:
+        """Records the era of a state of the store."""
+        if era <= self.era:
+            return
+        before, self.era = self.era, era
+        if before:
+            self._log.event("store_restored", "warning", era=era, before=before)
+
+    def log_listing(
+        self,
+        kind: catalog.Kind,
+        position: store_position.Position,
+        before: store_position.Position | None,
+        count: int,
+    ) -> None:
+        """Logs that all objects of a kind were listed."""
+        self._log.event(
+            "store_listed",
+            kind=kind.value,
+            position=position,
+            before=before or "none",
+            objects=count,
+        )
+
+    def log_crossing(
+        self,
+        kind: catalog.Kind,
+        before: store_position.Position,
+        position: store_position.Position,
+    ) -> None:
+        """Logs that a watch was answered by a later era of the store."""
+        self._log.event(
+            "watch_crossed_restore",
+            "warning",
+            kind=kind.value,
+            before=before,
+            position=position,
+        )
+
     async def acquire_turn(self) -> bool:
         """Waits until this watch may call the store.
 
--- a/packages/seam_node/seam_node/ports/catalog.py
+++ b/packages/seam_node/seam_node/ports/catalog.py
@@ -9,6 +9,7 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.ports import objects
+from seam_policy import store_position
 
 
 class Kind(enum.Enum):
@@ -39,10 +40,10 @@
 
 @attrs.frozen
 class Listing:
-    """All objects of a kind and the store revision to watch from."""
+    """All objects of a kind and the position to watch from."""
 
     entries: tuple[Entry, ...]
-    revision: int
+    position: store_position.Position
 
 
 @attrs.frozen
@@ -55,10 +56,10 @@
 
 @attrs.frozen
 class Changes:
-    """Changes up to a revision of the store."""
+    """Changes up to a position of the store."""
 
     changes: tuple[Change, ...]
-    revision: int
+    position: store_position.Position
 
 
 class Catalog(objects.ObjectStore):
--- a/tests/seam_node/forward/test_catalog_watch.py
+++ b/tests/seam_node/forward/test_catalog_watch.py
@@ -10,6 +10,7 @@
 from seam_node.forward import catalog_watch
 from seam_node.forward import store_link
 from seam_node.ports import catalog
+from seam_policy import store_position
 from standins import virtual_loop
 
 
@@ -57,7 +58,7 @@
         if self.unreachable:
             return expression.Error(errors.PlatformUnavailable("list"))
         entries = tuple(entry(name) for name in sorted(self.names))
-        return expression.Ok(catalog.Listing(entries, self.revision))
+        return expression.Ok(catalog.Listing(entries, self._position()))
 
     async def watch(self, kind, revision, wait_s):
         self.calls += 1
@@ -72,7 +73,10 @@
             self.history_gone = False
             return expression.Error(errors.HistoryGone(revision))
         matching = tuple(c for at, c in self.changes if at > revision)
-        return expression.Ok(catalog.Changes(matching, self.revision))
+        return expression.Ok(catalog.Changes(matching, self._position()))
+
+    def _position(self):
+        return store_position.Position(1, self.revision)
 
     async def announce(self, own):
         raise NotImplementedError
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/test_peers.py
@@ -9,6 +9,7 @@
 from seam_node.forward import datagrams
 from seam_node.forward import peers
 from seam_node.ports import catalog
+from seam_policy import store_position
 from standins import forward_heartbeats
 from standins import virtual_loop
 
@@ -24,7 +25,7 @@
             catalog.Entry(name, 1, forward_heartbeats.make_instance_entry(name))
             for name in sorted(self.names)
         )
-        return expression.Ok(catalog.Listing(entries, 1))
+        return expression.Ok(catalog.Listing(entries, store_position.START))
 
     async def withdraw(self, name):
         self.names.discard(name)
--- a/tests/seam_platform/test_store.py
+++ b/tests/seam_platform/test_store.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import pytest
+
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.ports import catalog
 from seam_platform import store
+from seam_policy import store_position
 from standins import forward_world
 from standins import object_store
 
@@ -42,9 +45,32 @@
         listed = (await client.list(catalog.Kind.ROUTES, TIMEOUT_S)).ok
         assert listed.entries[0].value.version == 3
         core.put("config", "main", {**plain, "version": 5})
-        seen = await client.watch(catalog.Kind.ROUTES, listed.revision, 1.0)
+        seen = await client.watch(
+            catalog.Kind.ROUTES, listed.position.revision, 1.0
+        )
         assert [c.entry.value.version for c in seen.ok.changes] == [5]
-        assert seen.ok.revision == core.revision
+        assert seen.ok.position.revision == core.revision
+
+    run(scenario)
+
+
+def test_positions_name_the_era():
+    async def scenario(client, core):
+        listed = (await client.list(catalog.Kind.ROUTES, TIMEOUT_S)).ok
+        assert listed.position == store_position.Position(1, core.revision)
+        core.restore(core.copy())
+        seen = await client.watch(catalog.Kind.ROUTES, core.revision, 0.05)
+        assert seen.ok.position == store_position.Position(2, core.revision)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "-1", "1.5", "x", "9" * 5000, "\u0661"])
+def test_an_unreadable_era_is_none(text, monkeypatch):
+    async def scenario(client, core):
+        monkeypatch.setattr(core, "era", text)
+        listed = (await client.list(catalog.Kind.ROUTES, TIMEOUT_S)).ok
+        assert listed.position.era == 0
 
     run(scenario)
 
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -1,8 +1,10 @@
 """HTTP stand-in for the users' store of versioned objects, with faults."""
 
 import asyncio
+import copy
 import json
 
+import attrs
 from tornado import httpserver
 from tornado import netutil
 from tornado import web
@@ -10,6 +12,15 @@
 KEEP_ALL = 10**9
 
 
+@attrs.frozen
+class Copy:
+    """What a store held at some time."""
+
+    revision: int
+    objects: dict[str, dict[str, dict]]
+    changes: list[tuple[int, str, bool, dict]]
+
+
 class ObjectStore:
     """Objects by kind and name with one revision counter for all."""
 
@@ -17,6 +28,8 @@
         self.revision = 1
         self.objects: dict[str, dict[str, dict]] = {}
         self.changes: list[tuple[int, str, bool, dict]] = []
+        self.era = 1
+        """How often the store came back from a copy, plus one."""
         self.oldest = 0
         """Revision below which the change history is no longer kept."""
         self.status = 0
@@ -51,6 +64,18 @@
         self.oldest = self.revision
         self._wake()
 
+    def copy(self) -> "Copy":
+        """Returns a copy of all objects, to restore the store from."""
+        return Copy(self.revision, copy.deepcopy(self.objects), self.changes[:])
+
+    def restore(self, kept: "Copy") -> None:
+        """Loses what was written since a copy; watches are cut off."""
+        self.era += 1
+        self.revision = kept.revision
+        self.objects = copy.deepcopy(kept.objects)
+        self.changes = kept.changes[:]
+        self._wake()
+
     def since(self, kind: str, revision: int) -> list[dict]:
         return [
             {"object": item, "removed": removed}
@@ -64,7 +89,8 @@
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait_for(
                         lambda: (
-                            self.since(kind, revision) or revision < self.oldest
+                            self.since(kind, revision)
+                            or not self.oldest <= revision <= self.revision
                         )
                     )
             except TimeoutError:
@@ -90,6 +116,7 @@
 
     async def prepare(self) -> None:
         store = self._store
+        self.set_header("Store-Era", str(store.era).encode())
         store.calls.append(f"{self.request.method} {self.request.uri}")
         while store.silent:
             await asyncio.sleep(0.02)
@@ -155,7 +182,7 @@
         store = self._store
         wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
         await store.wait(kind, revision, wait_s)
-        if revision < store.oldest:
+        if not store.oldest <= revision <= store.revision:
             self.set_status(410)
             return
         self.write(
