--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -111,8 +111,9 @@
 class Handler(web.RequestHandler):
     """Handles one call of the store's API."""
 
-    def initialize(self, store: ObjectStore) -> None:
+    def initialize(self, store: ObjectStore, server: "StoreServer") -> None:
         self._store = store
+        self._server = server
 
     async def prepare(self) -> None:
         store = self._store
@@ -120,8 +121,9 @@
         store.calls.append(f"{self.request.method} {self.request.uri}")
         while store.silent:
             await asyncio.sleep(0.02)
-        if store.status:
-            self.set_status(store.status)
+        status = self._server.status or store.status
+        if status:
+            self.set_status(status)
             self.finish()
 
     async def get(self, kind: str, name: str | None = None) -> None:
@@ -198,6 +200,8 @@
 
     def __init__(self, store: ObjectStore):
         self.store = store
+        self.status = 0
+        """HTTP status for those that use this server; 0 for the store's."""
 
     def start(self) -> None:
         app = web.Application(
@@ -205,7 +209,7 @@
                 (
                     r"/sycamoreseam/objects/([^/]+)(?:/([^/]+))?",
                     Handler,
-                    {"store": self.store},
+                    {"store": self.store, "server": self},
                 )
             ],
             log_function=lambda handler: None,
