List the store's objects anew once it has been restored

Cause: a watch goes on from a revision. The copy has a lower one and gives the revisions in between out again, for other changes. The store refuses a revision that it doesn't have (410), but an instance that asks only once the counter is past it gets no 410 and never hears of what was written below. The class: a number that its owner may set back is compared as if it only grew.

Why this works: a position is a pair of era and revision, and an answer of another era than the one watched from makes the watch list all objects. The first watch of an instance that finds out makes its other watches do so at once.

--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -541,6 +541,17 @@
     revision: int
 
 
+@attrs.frozen
+class StoreOutdated(PlatformError):
+    """The answer is from before the store was restored from a copy.
+
+    What was written by such a call is lost.
+    """
+
+    code = "store_outdated"
+    operation: str
+
+
 @attrs.frozen
 class RouteUnknown(SeamError):
     """No route of the configuration in force matches the request."""
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -4,7 +4,6 @@
 import asyncio
 from collections.abc import Callable
 
-import attrs
 import expression
 
 from seam_model import errors
@@ -76,6 +75,7 @@
         self._now = now
         self._names: set[str] = set()
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
+        link.on_restored.append(self._relist)
         self._position: store_position.Position | None = None
         """Where the next watch goes on; None to list the objects first."""
         self._task: asyncio.Task | None = None
@@ -109,6 +109,19 @@
             self._position = None
             self._task = asyncio.ensure_future(self._run())
 
+    def _relist(self) -> None:
+        """Lists the objects again, as the store has been restored.
+
+        The call that waits is of the era before.
+        """
+        is_current = (
+            self._position is None or self._position.era == self._link.era
+        )
+        if self._task is not None and not is_current:
+            self._task.cancel()
+            self._task = None
+            self.resume()
+
     def pause(self, revision: int, age_s: float) -> None:
         """Stops calling the store, as another source tells of the objects.
 
@@ -169,7 +182,7 @@
     async def _list(self, timeout_s: float) -> Done:
         listed = await self._source.list(self._kind, timeout_s=timeout_s)
         if listed.is_error():
-            return self._record_failure(listed.error)
+            return self._note_error(listed.error)
         self._note_answer()
         present = {entry.name for entry in listed.ok.entries}
         for name in self._names - present:
@@ -187,21 +200,21 @@
             self._kind, self._position.revision, self._wait_s()
         )
         if watched.is_error():
-            if isinstance(watched.error, errors.HistoryGone):
-                self._position = None
-                return expression.Ok(None)
-            return self._record_failure(watched.error)
+            return self._note_error(watched.error)
         self._note_answer()
+        position = watched.ok.position
+        if position.era != self._position.era:
+            # Its revisions say nothing about those that were watched from.
+            self._link.log_crossing(self._kind, self._position, position)
+            self._position = None
+            self._link.note_era(position.era)
+            return expression.Ok(None)
         for change in watched.ok.changes:
             if change.removed:
                 self._schedule_removal(change.entry.name)
             else:
                 self._add(change.entry)
-        position = watched.ok.position
-        if position.era != self._position.era:
-            self._link.log_crossing(self._kind, self._position, position)
-        revision = max(self._position.revision, position.revision)
-        self._note_position(attrs.evolve(position, revision=revision))
+        self._note_position(max(self._position, position))
         if watched.ok.changes:
             await asyncio.sleep(COALESCE_S)
         return expression.Ok(None)
@@ -240,8 +253,11 @@
         self._names.discard(name)
         self._listener.remove(name)
 
-    def _record_failure(self, error: errors.PlatformError) -> Done:
-        self._link.record_failure(error)
+    def _note_error(self, error: errors.PlatformError) -> Done:
+        if isinstance(error, errors.HistoryGone | errors.StoreOutdated):
+            self._position = None
+        else:
+            self._link.record_failure(error)
         return expression.Error(error)
 
     def _note_position(self, position: store_position.Position) -> None:
--- a/packages/seam_node/seam_node/forward/store_link.py
+++ b/packages/seam_node/seam_node/forward/store_link.py
@@ -47,6 +47,8 @@
         """Time at which the last outage was found to have ended."""
         self.era = 0
         """Latest era of the store that was heard of; 0 if none."""
+        self.on_restored: list[Callable[[], None]] = []
+        """Called once the store is found to have been restored."""
 
     @property
     def unreachable(self) -> bool:
@@ -81,8 +83,11 @@
         if era <= self.era:
             return
         before, self.era = self.era, era
-        if before:
-            self._log.event("store_restored", "warning", era=era, before=before)
+        if not before:
+            return
+        self._log.event("store_restored", "warning", era=era, before=before)
+        for handle in self.on_restored:
+            handle()
 
     def log_listing(
         self,
