--- a/tests/seam_platform/test_store.py
+++ b/tests/seam_platform/test_store.py
@@ -7,6 +7,7 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.ports import catalog
+from seam_node.ports import objects
 from seam_platform import store
 from seam_policy import store_position
 from standins import forward_world
@@ -65,6 +66,48 @@
     run(scenario)
 
 
+def test_an_answer_from_before_a_restore_is_refused():
+    async def scenario(client, core):
+        core.restore(core.copy())
+        await client.list(catalog.Kind.ROUTES, TIMEOUT_S)
+        core.era = 1
+        listed = await client.list(catalog.Kind.ROUTES, TIMEOUT_S)
+        assert isinstance(listed.error, errors.StoreOutdated)
+        put = await client.put("k", b"1", objects.ABSENT)
+        assert isinstance(put.error, errors.StoreOutdated)
+
+    run(scenario)
+
+
+def test_pages_from_before_and_after_a_restore_are_not_one_listing():
+    class RestoringCalls(list):
+        """Restores the store before the second page."""
+
+        def __init__(self, core, kept):
+            super().__init__()
+            self._core = core
+            self._kept = kept
+
+        def append(self, call):
+            super().append(call)
+            if len(self) == 2:
+                self._core.restore(self._kept)
+
+    async def scenario(client, core):
+        core.page_size = 1
+        core.put("servers", "a", {})
+        core.put("servers", "b", {})
+        kept = core.copy()
+        core.put("servers", "c", {})
+        core.calls = RestoringCalls(core, kept)
+        listed = await client.list(catalog.Kind.ENDPOINTS, TIMEOUT_S)
+        assert isinstance(listed.error, errors.StoreOutdated)
+        listed = await client.list(catalog.Kind.ENDPOINTS, TIMEOUT_S)
+        assert [each.name for each in listed.ok.entries] == ["a", "b"]
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("text", ["", "-1", "1.5", "x", "9" * 5000, "\u0661"])
 def test_an_unreadable_era_is_none(text, monkeypatch):
     async def scenario(client, core):
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -35,6 +35,7 @@
         self.status = 0
         """HTTP status of every answer; 0 means normal answers."""
         self.silent = False
+        self.page_size = 500
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
 
@@ -117,8 +118,8 @@
 
     async def prepare(self) -> None:
         store = self._store
-        self.set_header("Store-Era", str(store.era).encode())
         store.calls.append(f"{self.request.method} {self.request.uri}")
+        self.set_header("Store-Era", str(store.era).encode())
         while store.silent:
             await asyncio.sleep(0.02)
         status = self._server.status or store.status
@@ -136,10 +137,12 @@
         if watched is not None:
             await self._watch(kind, int(watched))
             return
+        after = self.get_query_argument("after", "")
+        names = sorted(name for name in known if name > after)
         self.write(
             {
-                "items": list(known.values()),
-                "has_more": False,
+                "items": [known[name] for name in names[: store.page_size]],
+                "has_more": len(names) > store.page_size,
                 "store_revision": store.revision,
             }
         )
