Compare instances' copies of the store by era and revision

Cause: 'not behind the own copy' compared revisions of two eras. Same class as the watch: a number that may be set back, compared as if it only grew.

Why this works: the feed tells positions, so a source of an earlier era is not used, and its frames name the era, so that a follower learns of a restore together with the first change. The frames of a feed have changed: instances of two versions do not read each other's feed and ask the store until all are replaced.

--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -81,8 +81,8 @@
         self._task: asyncio.Task | None = None
         self.answered_at: float | None = None
         """Time of the store's last answer; None before the first listing."""
-        self.known_revision = 0
-        """Newest revision of the store up to which the objects are known."""
+        self.known_position = store_position.START
+        """Newest position of the store up to which the objects are known."""
 
     async def start(self) -> None:
         """Starts listing and watching."""
@@ -114,31 +114,36 @@
 
         The call that waits is of the era before.
         """
-        is_current = (
-            self._position is None or self._position.era == self._link.era
-        )
-        if self._task is not None and not is_current:
-            self._task.cancel()
-            self._task = None
-            self.resume()
+        if self._task is None or self._task is asyncio.current_task():
+            return
+        self._task.cancel()
+        self._task = None
+        self.resume()
 
-    def pause(self, revision: int, age_s: float) -> None:
+    def pause(self, position: store_position.Position, age_s: float) -> None:
         """Stops calling the store, as another source tells of the objects.
 
         Args:
-            revision: the store's revision up to which the source knows them.
+            position: position of the store up to which the source knows them.
             age_s: time since the store's last answer to the source.
         """
         if self._task is not None:
             self._task.cancel()
             self._task = None
-        self.known_revision = max(self.known_revision, revision)
+        self._link.note_era(position.era)
+        self.known_position = max(self.known_position, position)
         answered_at = self._now() - age_s
         self.answered_at = max(answered_at, self.answered_at or answered_at)
 
-    def replace(self, entries: tuple[catalog.Entry, ...]) -> None:
-        """Replaces all objects by those of another source."""
+    def replace(self, entries: tuple[catalog.Entry, ...], era: int) -> None:
+        """Replaces all objects by those of another source.
+
+        Args:
+            entries: the objects.
+            era: era of the store that showed them to the source.
+        """
         self._link.note_other_source()
+        self._link.note_era(era)
         for name in self._names - {entry.name for entry in entries}:
             self._schedule_removal(name)
         for entry in entries:
@@ -184,6 +189,7 @@
         if listed.is_error():
             return self._note_error(listed.error)
         self._note_answer()
+        self._link.note_era(listed.ok.position.era)
         present = {entry.name for entry in listed.ok.entries}
         for name in self._names - present:
             self._schedule_removal(name)
@@ -224,7 +230,7 @@
         if timer is not None:
             timer.cancel()
         self._names.add(entry.name)
-        self._board.update(feed_board.Update(self._kind, entry, removed=False))
+        self._tell_followers(entry, removed=False)
         self._listener.put(entry)
 
     def _schedule_removal(self, name: str) -> None:
@@ -233,8 +239,7 @@
         During an outage the announcements of live endpoints expire, so objects
         that are missing afterwards get time to be announced again.
         """
-        entry = catalog.Entry(name, 0, None)
-        self._board.update(feed_board.Update(self._kind, entry, removed=True))
+        self._tell_followers(catalog.Entry(name, 0, None), removed=True)
         grace_left_s = (
             self._link.recovered_at + REANNOUNCE_GRACE_S - self._now()
         )
@@ -248,6 +253,11 @@
             grace_left_s, self._remove_now, name
         )
 
+    def _tell_followers(self, entry: catalog.Entry, removed: bool) -> None:
+        self._board.update(
+            feed_board.Update(self._kind, entry, removed, self._link.era)
+        )
+
     def _remove_now(self, name: str) -> None:
         self._pending_removals.pop(name, None)
         self._names.discard(name)
@@ -262,8 +272,7 @@
 
     def _note_position(self, position: store_position.Position) -> None:
         self._position = position
-        self._link.note_era(position.era)
-        self.known_revision = max(self.known_revision, position.revision)
+        self.known_position = max(self.known_position, position)
 
     def _note_answer(self) -> None:
         self.answered_at = self._now()
--- a/packages/seam_node/seam_node/forward/feed_board.py
+++ b/packages/seam_node/seam_node/forward/feed_board.py
@@ -14,6 +14,8 @@
     kind: catalog.Kind
     entry: catalog.Entry
     removed: bool
+    era: int
+    """Era of the store that showed the change."""
     encoded: bytes = b""
     """The change as it is sent, once the first follower got it."""
 
@@ -30,6 +32,8 @@
         """Starts without objects and subscribers."""
         self._entries: dict[catalog.Kind, dict[str, catalog.Entry]] = {}
         self._subscribers: set[asyncio.Queue[Update]] = set()
+        self.era = 0
+        """Era of the latest update."""
 
     def entries(self, kind: catalog.Kind) -> tuple[catalog.Entry, ...]:
         """Returns all objects of a kind."""
@@ -52,6 +56,7 @@
 
     def update(self, update: Update) -> None:
         """Applies an update and tells the subscribers."""
+        self.era = update.era
         entries = self._entries.setdefault(update.kind, {})
         if update.removed:
             entries.pop(update.entry.name, None)
--- a/packages/seam_node/seam_node/forward/feed_client.py
+++ b/packages/seam_node/seam_node/forward/feed_client.py
@@ -58,6 +58,7 @@
         self._source = ""
         self._offered: dict[catalog.Kind, dict[str, catalog.Entry]] = {}
         """The objects of the feed, whether it is used or not."""
+        self._offered_era = 0
         self.connected = False
         """Whether a feed is read, fresh or not."""
         self._task: asyncio.Task | None = None
@@ -139,6 +140,7 @@
         if isinstance(frame, feed_codec.Alive):
             self._note_statuses(source, frame.statuses)
             return
+        self._offered_era = frame.era
         offered = self._offered.setdefault(frame.kind, {})
         if isinstance(frame, feed_codec.Listing):
             offered.update({each.name: each for each in frame.entries})
@@ -151,7 +153,8 @@
 
     def _use_offered(self, kind: catalog.Kind) -> None:
         offered = self._offered.get(kind, {})
-        self._watches[kind].replace(tuple(offered.values()))
+        entries = tuple(offered.values())
+        self._watches[kind].replace(entries, self._offered_era)
 
     def _note_statuses(
         self, source: str, statuses: tuple[feed_codec.Status, ...]
@@ -159,7 +162,7 @@
         """Uses the feed while it is fresh and not behind the own copy."""
         usable = all(
             each.age_s <= self._max_age_s
-            and self._watches[each.kind].known_revision <= each.store_revision
+            and self._watches[each.kind].known_position <= each.position
             for each in statuses
         )
         if not usable:
@@ -168,7 +171,7 @@
         is_new = self._source != source
         self._set_source(source)
         for each in statuses:
-            self._watches[each.kind].pause(each.store_revision, each.age_s)
+            self._watches[each.kind].pause(each.position, each.age_s)
             if is_new:
                 self._use_offered(each.kind)
 
@@ -185,8 +188,8 @@
                 "source_changed",
                 source=source or "store",
                 before=self._source,
-                routes=self._watches[catalog.Kind.ROUTES].known_revision,
-                endpoints=self._watches[catalog.Kind.ENDPOINTS].known_revision,
+                routes=self._watches[catalog.Kind.ROUTES].known_position,
+                endpoints=self._watches[catalog.Kind.ENDPOINTS].known_position,
             )
             self._source = source
 
--- a/packages/seam_node/seam_node/forward/feed_codec.py
+++ b/packages/seam_node/seam_node/forward/feed_codec.py
@@ -13,6 +13,7 @@
 from seam_model import codec
 from seam_model import forwarding
 from seam_node.ports import catalog
+from seam_policy import store_position
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 KINDS = (catalog.Kind.ROUTES, catalog.Kind.ENDPOINTS)
@@ -34,7 +35,7 @@
     """How far the sender's copy of one kind is up to date."""
 
     kind: catalog.Kind
-    store_revision: int
+    position: store_position.Position
     age_s: float
     """Time since the store last answered the sender."""
 
@@ -52,6 +53,7 @@
 
     kind: catalog.Kind
     entries: tuple[catalog.Entry, ...]
+    era: int
 
 
 @attrs.frozen
@@ -61,6 +63,7 @@
     kind: catalog.Kind
     entry: catalog.Entry
     removed: bool
+    era: int
 
 
 Frame = Alive | Listing | Change
@@ -69,20 +72,12 @@
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
     if isinstance(frame, Alive):
-        return _pack(
-            [
-                0,
-                [
-                    [each.kind.value, each.store_revision, round(each.age_s, 3)]
-                    for each in frame.statuses
-                ],
-            ]
-        )
+        return _pack([0, [_plain_status(each) for each in frame.statuses]])
     if isinstance(frame, Change):
         plain = _plain_entry(frame.entry)
-        return _pack([2, frame.kind.value, plain, frame.removed])
+        return _pack([2, frame.kind.value, plain, frame.removed, frame.era])
     entries = [_plain_entry(each) for each in frame.entries]
-    return _pack([1, frame.kind.value, entries])
+    return _pack([1, frame.kind.value, entries, frame.era])
 
 
 def decode_length(data: bytes) -> int:
@@ -104,17 +99,13 @@
     try:
         tag, *values = msgpack.unpackb(_decompress(data))
         if tag == 0:
-            return Alive(
-                tuple(
-                    Status(catalog.Kind(kind), int(revision), float(age_s))
-                    for kind, revision, age_s in values[0]
-                )
-            )
+            return Alive(tuple(_status(plain) for plain in values[0]))
         kind = catalog.Kind(values[0])
         if tag == 1:
             entries = tuple(_entry(kind, plain) for plain in values[1])
-            return Listing(kind, entries)
-        return Change(kind, _entry(kind, values[1]), bool(values[2]))
+            return Listing(kind, entries, int(values[2]))
+        entry = _entry(kind, values[1])
+        return Change(kind, entry, bool(values[2]), int(values[3]))
     except (
         ValueError,
         TypeError,
@@ -138,6 +129,18 @@
     return plain
 
 
+def _plain_status(status: Status) -> list[Any]:
+    position = status.position
+    age_s = round(status.age_s, 3)
+    return [status.kind.value, position.era, position.revision, age_s]
+
+
+def _status(plain: list[Any]) -> Status:
+    kind, era, revision, age_s = plain
+    position = store_position.Position(int(era), int(revision))
+    return Status(catalog.Kind(kind), position, float(age_s))
+
+
 def _plain_entry(entry: catalog.Entry) -> list[Any]:
     value = None if entry.value is None else codec.to_plain(entry.value)
     return [entry.name, entry.revision, value]
--- a/packages/seam_node/seam_node/forward/feed_server.py
+++ b/packages/seam_node/seam_node/forward/feed_server.py
@@ -86,7 +86,9 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         for kind in feed_codec.KINDS:
-            listing = feed_codec.Listing(kind, self._board.entries(kind))
+            listing = feed_codec.Listing(
+                kind, self._board.entries(kind), self._board.era
+            )
             writer.write(feed_codec.encode(listing))
         while True:
             writer.write(feed_codec.encode(feed_codec.Alive(self._statuses())))
@@ -109,6 +111,8 @@
         for each in updates:
             if not each.encoded:
                 each.encoded = feed_codec.encode(
-                    feed_codec.Change(each.kind, each.entry, each.removed)
+                    feed_codec.Change(
+                        each.kind, each.entry, each.removed, each.era
+                    )
                 )
             writer.write(each.encoded)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -325,7 +325,7 @@
             self.entry.peers,
             self._board,
             lambda: tuple(
-                feed_codec.Status(kind, watch.known_revision, watch.age_s())
+                feed_codec.Status(kind, watch.known_position, watch.age_s())
                 for kind, watch in watches.items()
             ),
             time_bounds.source_wait_s(self._apply_s) / 2,
--- a/tests/seam_node/forward/test_feed.py
+++ b/tests/seam_node/forward/test_feed.py
@@ -8,6 +8,7 @@
 from seam_node.forward import feed_codec
 from seam_node.ports import catalog
 from seam_platform import objects
+from seam_policy import store_position
 from standins import feed_world
 from standins import forward_world
 
@@ -88,7 +89,23 @@
     async def scenario(world):
         follower = world.followers[0]
         for watch in follower.watches.values():
-            watch.known_revision += 1000
+            watch.known_position = store_position.Position(
+                1, watch.known_position.revision + 1000
+            )
+        await world.until(lambda: follower.client.source == "")
+        await asyncio.sleep(0.5)
+        assert follower.client.source == ""
+
+    feed_world.run(scenario)
+
+
+def test_a_source_that_has_not_heard_of_a_restore_is_not_used():
+    """Its higher revision is one that the store has lost."""
+
+    async def scenario(world):
+        follower = world.followers[0]
+        for watch in follower.watches.values():
+            watch.known_position = store_position.Position(2, 1)
         await world.until(lambda: follower.client.source == "")
         await asyncio.sleep(0.5)
         assert follower.client.source == ""
@@ -119,7 +136,7 @@
     async def scenario(world):
         follower = world.followers[0]
         follower.link.record_failure(errors.PlatformUnavailable("list"))
-        follower.watches[feed_world.ENDPOINTS].replace(())
+        follower.watches[feed_world.ENDPOINTS].replace((), 1)
         assert follower.names == {"e-1"}
         assert not follower.link.unreachable
 
@@ -154,20 +171,22 @@
     return objects.route_table(plain)
 
 
+POSITION = store_position.Position(2, 17)
 FRAMES = [
-    feed_codec.Alive((feed_codec.Status(feed_world.ROUTES, 17, 0.25),)),
+    feed_codec.Alive((feed_codec.Status(feed_world.ROUTES, POSITION, 0.25),)),
     feed_codec.Listing(
         feed_world.ENDPOINTS,
         (
             catalog.Entry("e-1", 5, objects.endpoint("e-1", feed_world.spec())),
             catalog.Entry("odd", 6, None),
         ),
+        2,
     ),
     feed_codec.Change(
-        feed_world.ROUTES, catalog.Entry("main", 9, table()), False
+        feed_world.ROUTES, catalog.Entry("main", 9, table()), False, 2
     ),
     feed_codec.Change(
-        feed_world.ENDPOINTS, catalog.Entry("e-1", 0, None), True
+        feed_world.ENDPOINTS, catalog.Entry("e-1", 0, None), True, 3
     ),
 ]
 
--- a/tests/standins/feed_world.py
+++ b/tests/standins/feed_world.py
@@ -79,7 +79,7 @@
             forwarding.Address("127.0.0.1", 0),
             self.board,
             lambda: tuple(
-                feed_codec.Status(kind, watch.known_revision, watch.age_s())
+                feed_codec.Status(kind, watch.known_position, watch.age_s())
                 for kind, watch in self.watches.items()
             ),
             WAIT_S / 2,
