Keep live endpoints that the store lacks after a restore

What callers could see: requests refused for up to two seconds, as endpoints that had joined since the copy were dropped at once by all instances, until they announced themselves again. Only after an outage that made a call fail were missing endpoints kept for 1.7 s; a restore may be too short for that, and a follower need not notice it at all.

A restore now counts as an outage that has just ended, at each instance when it hears of the new era.

--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -18,9 +18,9 @@
 BACKOFF_INITIAL_S = 0.05
 BACKOFF_MAX_S = 0.4
 REANNOUNCE_GRACE_S = 1.7
-"""Time after a store outage is found to have ended in which missing objects
-are kept: live endpoints announce themselves again within about two seconds of
-the store's recovery."""
+"""Time after an outage or a restore of the store is found to be over in which
+missing objects are kept: live endpoints announce themselves again within about
+two seconds of the store's recovery."""
 
 Done = expression.Result[None, errors.PlatformError]
 
@@ -234,10 +234,11 @@
         self._listener.put(entry)
 
     def _schedule_removal(self, name: str) -> None:
-        """Removes an object, with a delay after an outage.
+        """Removes an object, with a delay after an outage or a restore.
 
-        During an outage the announcements of live endpoints expire, so objects
-        that are missing afterwards get time to be announced again.
+        During an outage the announcements of live endpoints expire, and a copy
+        lacks the latest ones, so objects that are missing afterwards get time
+        to be announced again.
         """
         self._tell_followers(catalog.Entry(name, 0, None), removed=True)
         grace_left_s = (
--- a/packages/seam_node/seam_node/forward/store_link.py
+++ b/packages/seam_node/seam_node/forward/store_link.py
@@ -44,7 +44,7 @@
         self._probe_lock = asyncio.Lock()
         self._probe_count = 0
         self.recovered_at = float("-inf")
-        """Time at which the last outage was found to have ended."""
+        """Time at which the last outage or restore was found to be over."""
         self.era = 0
         """Latest era of the store that was heard of; 0 if none."""
         self.on_restored: list[Callable[[], None]] = []
@@ -85,6 +85,8 @@
         before, self.era = self.era, era
         if not before:
             return
+        # What was announced since the copy is missing until it is repeated.
+        self.recovered_at = self._now()
         self._log.event("store_restored", "warning", era=era, before=before)
         for handle in self.on_restored:
             handle()
--- a/tests/seam_node/forward/test_restored_store.py
+++ b/tests/seam_node/forward/test_restored_store.py
@@ -1,5 +1,7 @@
 """The platform's store comes back from a copy that is some seconds old."""
 
+import asyncio
+
 from standins import feed_world
 
 
@@ -37,3 +39,27 @@
         )
 
     feed_world.run(scenario)
+
+
+def test_live_endpoints_that_the_copy_lacks_are_used_on():
+    """They announce themselves again; no call failed meanwhile."""
+
+    async def scenario(world):
+        copy = world.store.copy()
+        world.store.put("servers", "e-2", feed_world.spec("10.0.0.2:80"))
+        await world.until(
+            lambda: all(each.names >= {"e-2"} for each in world.instances)
+        )
+        world.store.restore(copy)
+        restored_at = asyncio.get_running_loop().time()
+        await world.until(
+            lambda: all(each.link.era == 2 for each in world.instances)
+        )
+        while asyncio.get_running_loop().time() < restored_at + 1.0:
+            assert all(each.names >= {"e-2"} for each in world.instances)
+            await asyncio.sleep(0.01)
+        world.store.put("servers", "e-2", feed_world.spec("10.0.0.2:80"))
+        await asyncio.sleep(1.5)
+        assert all(each.names == {"e-1", "e-2"} for each in world.instances)
+
+    feed_world.run(scenario)
