Take a lease that a restore may have lost only once it has run out

What users could see: orders to an engine from two instances at once, or two holders with one fencing token (ONE).

Cause: a missing or released lease, or an own one of a former process, was taken at once, and 'unchanged since' and the expected version compared versions of two eras. In the lost time anyone may have taken or renewed the lease. Fencing tokens were counted from the record that was there, so they went back.

Why this works: records name the era in which they were written. One of an era before, or none in a store that was restored, counts as held until a full lease and the last order have passed, seen from the first read in the new era. A holder whose own lease still runs writes it again at once: nobody else can have it. A write that a restore came before does not count, though its version may match again.

Ruled out: to go by one's own reading of the copy, as it cannot show what was lost.

--- a/packages/seam_node/seam_node/controllers/lease.py
+++ b/packages/seam_node/seam_node/controllers/lease.py
@@ -2,7 +2,8 @@
 
 Validity is counted on the monotonic clock from before the renewal was sent,
 so a holder that was paused finds its lease expired before it acts. The
-fencing token increases at every change of holder.
+fencing token increases at every change of holder, also if the store is
+restored from a copy in between.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from seam_node import task
 from seam_node.ports import clock as clock_port
 from seam_node.ports import objects
+from seam_policy import lease_takeover
 
 PREFIX = "leases/"
 DURATION_S = 15.0
@@ -33,6 +35,8 @@
     duration_s: float
     nonce: int
     """Number of the holder's write, to identify it when its answer is lost."""
+    era: int = 0
+    """Era of the store that the holder knew of when it wrote."""
 
 
 @attrs.frozen
@@ -53,9 +57,22 @@
 @attrs.frozen
 class _Observation:
     version: int
+    era: int
     record: LeaseRecord | None
     since_s: float
-    """Monotonic time at which this version was first observed."""
+    """Monotonic time at which this version of this era was first observed."""
+
+    def stored(self) -> lease_takeover.StoredLease:
+        """Returns what decides on taking the lease."""
+        if self.record is None:
+            return lease_takeover.StoredLease(self.era, exists=False)
+        return lease_takeover.StoredLease(
+            self.era,
+            exists=True,
+            written_era=self.record.era,
+            duration_s=self.record.duration_s,
+            fence=self.record.fence,
+        )
 
 
 class LeaseController(task.Task):
@@ -137,10 +154,10 @@
         await self._observe()
         if self._observed is None:
             return
-        if self._is_own(self._observed.record):
+        if self._is_held():
             await self._renew(self._observed.record)
-        elif self._is_wanted() and self._is_expired(self._observed):
-            await self._acquire(self._observed.record)
+        elif self._is_wanted() and self._may_take(self._observed):
+            await self._acquire(self._observed)
 
     async def _observe(self) -> None:
         got = await self._platform.get(self._key)
@@ -153,14 +170,19 @@
             if parsed.is_error():
                 return
             version, record = got.ok.version, parsed.ok
-        if self._observed is None or self._observed.version != version:
+        era = self._platform.era
+        known = self._observed
+        if known is None or (known.era, known.version) != (era, version):
             # Read after the answer, so that the wait is never too short.
             now = self._clock.monotonic()
-            self._observed = _Observation(version, record, now)
+            self._observed = _Observation(version, era, record, now)
 
     def _is_held(self) -> bool:
-        return self._observed is not None and self._is_own(
-            self._observed.record
+        """Returns whether the store shows that this process has the lease."""
+        return (
+            self._observed is not None
+            and self._is_own(self._observed.record)
+            and not self._observed.stored().may_be_outdated
         )
 
     def _is_own(self, record: LeaseRecord | None) -> bool:
@@ -170,16 +192,25 @@
             and record.incarnation == self._incarnation
         )
 
-    def _is_expired(self, observed: _Observation) -> bool:
-        if observed.record is None:
-            return True
-        if self._takes_over_own and observed.record.holder == self._holder:
+    def _may_take(self, observed: _Observation) -> bool:
+        stored = observed.stored()
+        now = self._clock.monotonic()
+        if stored.may_be_outdated:
+            if self.valid_for(now) > 0:
+                # Nobody else can have had it since this holder wrote it.
+                return True
+        elif self._takes_over_own and self._is_of_holder(observed.record):
             return True
-        wait_s = observed.record.duration_s + self._order_timeout_s
-        return self._clock.monotonic() - observed.since_s > wait_s
+        wait_s = lease_takeover.takeover_wait_s(
+            stored, self._duration_s, self._order_timeout_s
+        )
+        return wait_s == 0 or now - observed.since_s > wait_s
+
+    def _is_of_holder(self, record: LeaseRecord | None) -> bool:
+        return record is not None and record.holder == self._holder
 
-    async def _acquire(self, old: LeaseRecord | None) -> None:
-        fence = old.fence + 1 if old else 1
+    async def _acquire(self, observed: _Observation) -> None:
+        fence = lease_takeover.next_fence(observed.stored())
         await self._write(self._duration_s, fence)
 
     async def _renew(self, record: LeaseRecord) -> None:
@@ -198,7 +229,12 @@
     async def _write(self, duration_s: float, fence: int) -> None:
         self._nonce += 1
         record = LeaseRecord(
-            self._holder, self._incarnation, fence, duration_s, self._nonce
+            self._holder,
+            self._incarnation,
+            fence,
+            duration_s,
+            self._nonce,
+            self._observed.era,
         )
         sent_s = self._clock.monotonic()
         put = await self._platform.put(
@@ -206,13 +242,16 @@
         )
         if put.is_ok():
             self._observed = _Observation(
-                put.ok, record, self._clock.monotonic()
+                put.ok, self._platform.era, record, self._clock.monotonic()
             )
         else:
             await self._read_back(put)
         # Only the write sent above extends the lease: an earlier write of this
         # holder found in the store does not prove that this one succeeded.
+        # One that a restore came before met a version of another state.
         if self._observed.record == record:
+            if self._observed.era != record.era:
+                return
             self._valid_until_s = sent_s + duration_s
             self._last_fence = fence
         elif not self._is_own(self._observed.record):
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -355,6 +355,7 @@
             takes_over_own=True,
         )
         self.stages.set_lease(self._stage_lease)
+        self._store_link.on_restored.append(self.stages.observe_soon)
 
     def _register_gauges(self) -> None:
         forward_gauges.register(
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/stages.py
@@ -112,6 +112,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def observe_soon(self) -> None:
+        """Reads the lease soon, as the time from a restore counts anew."""
+        self._observe_at = float("-inf")
+
     def _is_next(self) -> bool:
         return self._order_position() == 0
 
--- a/packages/seam_node/seam_node/ports/objects.py
+++ b/packages/seam_node/seam_node/ports/objects.py
@@ -25,9 +25,18 @@
 
     A call that fails with `PlatformUnavailable` had no effect. A write that
     fails with `PlatformAmbiguous` may have had an effect. Each object has its
-    own version, which increases with every write.
+    own version, which increases with every write of an era.
     """
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored from a copy, as last heard.
+
+        0 for a store that does not tell. A restore sets versions back and
+        loses writes that had been acknowledged.
+        """
+        return 0
+
     @abc.abstractmethod
     async def get(
         self, key: str
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -11,9 +11,23 @@
 
     def __init__(self) -> None:
         self.is_away = False
+        self.store_era = 1
         self.objects: dict[str, objects.Stored] = {}
         self._version = 0
 
+    @property
+    def era(self):
+        return self.store_era
+
+    def copy(self):
+        """Returns a copy to restore the store from."""
+        return self._version, dict(self.objects)
+
+    def restore(self, kept):
+        """Loses what was written since a copy."""
+        self._version, self.objects = kept[0], dict(kept[1])
+        self.store_era += 1
+
     async def get(self, key: str):
         if self.is_away:
             return expression.Error(errors.PlatformUnavailable("get"))
