Do not use endpoints again that left before the store was restored

What callers could see: requests sent to endpoints that had left or were draining, as the copy shows them as ready, until the store drops them after three missed announcements (DRAIN, and refused connections). Class: what was withdrawn is in use again after a restart of something that keeps state.

For three intervals after a restore an entry that is older than what was seen, or no newer than when the endpoint left, is held back; then the store has dropped the dead, and what it still shows is believed. Followers are not told of entries that are held back. The interval is a new setting, store.announce_ms. Not covered: an instance that starts within these seconds knows only what its source tells.

--- a/packages/seam_model/seam_model/forward_settings.py
+++ b/packages/seam_model/seam_model/forward_settings.py
@@ -84,6 +84,8 @@
     apply_ms: float = toml_check.checked_field(above=0, high=3_600_000)
     """Time within which a change of the store must be in force, in
     milliseconds."""
+    announce_ms: float = toml_check.checked_field(above=0, high=3_600_000)
+    """Interval between the announcements of an endpoint, in milliseconds."""
 
 
 @attrs.frozen
--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -143,6 +143,8 @@
     stage: Stage = Stage.NONE
     warm_up_s: float = 0.0
     """Remaining time for which the endpoint is slow after its start."""
+    announcement: int = attrs.field(default=0, eq=False)
+    """Number of this announcement within the incarnation."""
 
     @property
     def key(self) -> str:
--- a/packages/seam_node/seam_node/forward/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/catalog_state.py
@@ -8,6 +8,7 @@
 from seam_node import logs
 from seam_node.forward import catalog_watch
 from seam_node.ports import catalog
+from seam_policy import announcement_memory
 from seam_policy import route_match
 
 
@@ -43,6 +44,15 @@
             routes=len(table.routes),
         )
 
+    def is_outdated(self, entry: catalog.Entry) -> bool:
+        """Returns whether a later version is in force."""
+        table = entry.value
+        return (
+            isinstance(table, forwarding.RouteTable)
+            and self.table is not None
+            and table.version < self.table.version
+        )
+
     def remove(self, name: str) -> None:
         """Keeps the configuration in force; a removal brings no newer one."""
         self._log.event("routes_removed", "warning", name=name)
@@ -55,9 +65,11 @@
 class Endpoints(catalog_watch.ChangeListener):
     """Announced endpoints, by service."""
 
-    def __init__(self, log: logs.Log):
+    def __init__(self, log: logs.Log, now: Callable[[], float]):
         """Starts empty."""
         self._log = log
+        self._now = now
+        self._memory = announcement_memory.AnnouncementMemory()
         self._by_id: dict[str, forwarding.Endpoint] = {}
         self._usable: dict[str, tuple[forwarding.Endpoint, ...]] = {}
         self.on_ended: Callable[[forwarding.Endpoint], None] | None = None
@@ -65,12 +77,20 @@
         self.on_stage: Callable[[forwarding.Endpoint], None] | None = None
         """Called with an engine that has changed its stage."""
 
+    def is_outdated(self, entry: catalog.Entry) -> bool:
+        """Returns whether a later announcement is known, or that it left."""
+        endpoint = entry.value
+        return isinstance(
+            endpoint, forwarding.Endpoint
+        ) and self._memory.is_outdated(entry.name, _age(endpoint))
+
     def put(self, entry: catalog.Entry) -> None:
         """Applies an announcement; an unreadable one removes the endpoint."""
         endpoint = entry.value
         old = self._by_id.pop(entry.name, None)
         if isinstance(endpoint, forwarding.Endpoint):
             self._by_id[entry.name] = endpoint
+            self._memory.note(entry.name, _age(endpoint))
         else:
             endpoint = None
             self._log.event(
@@ -85,6 +105,7 @@
     def remove(self, name: str) -> None:
         """Removes an endpoint whose announcement was removed."""
         old = self._by_id.pop(name, None)
+        self._memory.note_left(name, self._now())
         if old is not None:
             self._apply_change(name, old, None)
 
@@ -138,6 +159,10 @@
             self.on_ended(old)
 
 
+def _age(endpoint: forwarding.Endpoint) -> announcement_memory.Age:
+    return announcement_memory.Age(endpoint.started_ms, endpoint.announcement)
+
+
 def _state(endpoint: forwarding.Endpoint | None) -> str:
     if endpoint is None:
         return "gone"
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/catalog_watch.py
@@ -36,6 +36,14 @@
     def remove(self, name: str) -> None:
         """Handles the removal of an object."""
 
+    def is_outdated(self, entry: catalog.Entry) -> bool:
+        """Returns whether an object is known to have changed since.
+
+        Only a store that was restored from a copy shows such an object.
+        """
+        del entry
+        return False
+
 
 class CatalogWatch:
     """Lists objects, then watches them until it is closed."""
@@ -75,6 +83,9 @@
         self._now = now
         self._names: set[str] = set()
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
+        self._held_back: dict[str, catalog.Entry] = {}
+        """Objects that the store shows in an older state than known."""
+        self._release_timer: asyncio.TimerHandle | None = None
         link.on_restored.append(self._relist)
         self._position: store_position.Position | None = None
         """Where the next watch goes on; None to list the objects first."""
@@ -96,6 +107,9 @@
             self._task = None
         for timer in self._pending_removals.values():
             timer.cancel()
+        if self._release_timer is not None:
+            self._release_timer.cancel()
+        self._held_back.clear()
 
     async def restart(self) -> None:
         """Cancels the current call and lists all objects again."""
@@ -144,7 +158,8 @@
         """
         self._link.note_other_source()
         self._link.note_era(era)
-        for name in self._names - {entry.name for entry in entries}:
+        present = {entry.name for entry in entries}
+        for name in (self._names | self._held_back.keys()) - present:
             self._schedule_removal(name)
         for entry in entries:
             self._add(entry)
@@ -191,7 +206,7 @@
         self._note_answer()
         self._link.note_era(listed.ok.position.era)
         present = {entry.name for entry in listed.ok.entries}
-        for name in self._names - present:
+        for name in (self._names | self._held_back.keys()) - present:
             self._schedule_removal(name)
         for entry in listed.ok.entries:
             self._add(entry)
@@ -226,6 +241,10 @@
         return expression.Ok(None)
 
     def _add(self, entry: catalog.Entry) -> None:
+        if self._link.is_unconfirmed() and self._listener.is_outdated(entry):
+            self._hold_back(entry)
+            return
+        self._held_back.pop(entry.name, None)
         timer = self._pending_removals.pop(entry.name, None)
         if timer is not None:
             timer.cancel()
@@ -233,6 +252,21 @@
         self._tell_followers(entry, removed=False)
         self._listener.put(entry)
 
+    def _hold_back(self, entry: catalog.Entry) -> None:
+        """Believes an outdated object only if the store keeps showing it."""
+        if not self._held_back:
+            loop = asyncio.get_running_loop()
+            self._release_timer = loop.call_later(
+                self._link.unconfirmed_left_s(), self._release_held_back
+            )
+        self._held_back[entry.name] = entry
+
+    def _release_held_back(self) -> None:
+        entries = list(self._held_back.values())
+        self._held_back.clear()
+        for entry in entries:
+            self._add(entry)
+
     def _schedule_removal(self, name: str) -> None:
         """Removes an object, with a delay after an outage or a restore.
 
@@ -240,6 +274,7 @@
         lacks the latest ones, so objects that are missing afterwards get time
         to be announced again.
         """
+        self._held_back.pop(name, None)
         self._tell_followers(catalog.Entry(name, 0, None), removed=True)
         grace_left_s = (
             self._link.recovered_at + REANNOUNCE_GRACE_S - self._now()
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -210,13 +210,16 @@
         self._apply_s = store.apply_ms / forward_settings.MS_PER_S
         self._board = feed_board.FeedBoard()
         self.routes = catalog_state.Routes(self.log)
-        self.endpoints = catalog_state.Endpoints(self.log)
+        self.endpoints = catalog_state.Endpoints(self.log, self._now)
         self.stats = call_stats.CallStats()
         self._store_link = store_link.StoreLink(
             self._now,
             self.log,
             lambda outcome: self.metrics.platform_call("read", outcome),
             lambda: self._feed_client.connected,
+            time_bounds.unconfirmed_s(
+                store.announce_ms / forward_settings.MS_PER_S
+            ),
         )
         self._routes_watch = self._watch(catalog.Kind.ROUTES, self.routes)
         self._endpoints_watch = self._watch(
--- a/packages/seam_node/seam_node/forward/store_link.py
+++ b/packages/seam_node/seam_node/forward/store_link.py
@@ -25,6 +25,7 @@
         log: logs.Log,
         count_outcome: Callable[[str], None],
         others_probe: Callable[[], bool] = lambda: False,
+        unconfirmed_s: float = 0.0,
     ):
         """Starts with a reachable store.
 
@@ -34,11 +35,15 @@
             count_outcome: counts the outcome of each call, by code.
             others_probe: returns whether another instance probes the store and
                 would tell of its recovery.
+            unconfirmed_s: time after a restore in which the store may show
+                objects that have changed or gone since the copy.
         """
         self._now = now
         self._log = log
         self._count_outcome = count_outcome
         self._others_probe = others_probe
+        self._unconfirmed_s = unconfirmed_s
+        self._unconfirmed_until = float("-inf")
         self._reachable = asyncio.Event()
         self._reachable.set()
         self._probe_lock = asyncio.Lock()
@@ -87,10 +92,19 @@
             return
         # What was announced since the copy is missing until it is repeated.
         self.recovered_at = self._now()
+        self._unconfirmed_until = self._now() + self._unconfirmed_s
         self._log.event("store_restored", "warning", era=era, before=before)
         for handle in self.on_restored:
             handle()
 
+    def is_unconfirmed(self) -> bool:
+        """Returns whether the store may show what has changed since a copy."""
+        return self.unconfirmed_left_s() > 0
+
+    def unconfirmed_left_s(self) -> float:
+        """Returns for how long it may, in seconds."""
+        return max(0.0, self._unconfirmed_until - self._now())
+
     def log_listing(
         self,
         kind: catalog.Kind,
--- a/packages/seam_policy/seam_policy/time_bounds.py
+++ b/packages/seam_policy/seam_policy/time_bounds.py
@@ -23,6 +23,20 @@
 """Longest time from an order's timeout to its arrival at an engine."""
 
 
+MISSED_ANNOUNCEMENTS = 3
+"""Announcements that an endpoint may miss before the store drops it."""
+DROP_MARGIN_S = 0.4
+"""Time from the last missed announcement to the removal of the endpoint."""
+
+
+def unconfirmed_s(announce_s: float) -> float:
+    """Returns how long after a restore the store may show endpoints that left.
+
+    It drops those that don't repeat their announcement in time.
+    """
+    return MISSED_ANNOUNCEMENTS * announce_s + DROP_MARGIN_S
+
+
 def watch_wait_s(settle_s: float) -> float:
     """Returns how long a watch of the store may wait for a change.
 
--- a/tests/seam_node/forward/test_restored_store.py
+++ b/tests/seam_node/forward/test_restored_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from standins import feed_world
 
 
@@ -63,3 +65,81 @@
         assert all(each.names == {"e-1", "e-2"} for each in world.instances)
 
     feed_world.run(scenario)
+
+
+def leave(world):
+    """The endpoint is taken away."""
+    world.store.remove("servers", "e-1")
+
+
+def drain(world):
+    """The endpoint announces that it leaves."""
+    spec = feed_world.spec(state="draining", sequence=9)
+    world.store.put("servers", "e-1", spec)
+
+
+def restart(world):
+    """The endpoint starts anew for another service."""
+    spec = feed_world.spec(service="other", sequence=1, born=2000)
+    world.store.put("servers", "e-1", spec)
+
+
+@pytest.mark.parametrize("change", [leave, drain, restart])
+def test_an_endpoint_that_left_is_not_used_again_as_the_copy_has_it(change):
+    async def scenario(world):
+        world.store.put("servers", "e-2", feed_world.spec("10.0.0.2:80"))
+        copy = world.store.copy()
+        change(world)
+        await world.until(
+            lambda: all(each.names == {"e-2"} for each in world.instances)
+        )
+        world.store.restore(copy)
+        await world.until(
+            lambda: all(each.link.era == 2 for each in world.instances)
+        )
+        follower = world.followers[0]
+        await follower.client.restart()
+        until = asyncio.get_running_loop().time() + 1.5
+        while asyncio.get_running_loop().time() < until:
+            assert all(each.names == {"e-2"} for each in world.instances)
+            await asyncio.sleep(0.01)
+        world.store.remove("servers", "e-1")
+        await asyncio.sleep(feed_world.UNCONFIRMED_S)
+        assert all(each.names == {"e-2"} for each in world.instances)
+
+    feed_world.run(scenario)
+
+
+def test_an_endpoint_that_the_store_keeps_after_a_restore_is_used_again():
+    async def scenario(world):
+        copy = world.store.copy()
+        world.store.remove("servers", "e-1")
+        await world.until(
+            lambda: not any(each.names for each in world.instances)
+        )
+        world.store.restore(copy)
+        await world.until(
+            lambda: all(each.names == {"e-1"} for each in world.instances)
+        )
+
+    feed_world.run(scenario)
+
+
+def test_an_endpoint_that_announces_itself_after_a_restore_is_used_at_once():
+    async def scenario(world):
+        copy = world.store.copy()
+        world.store.remove("servers", "e-1")
+        await world.until(
+            lambda: not any(each.names for each in world.instances)
+        )
+        world.store.restore(copy)
+        await world.until(
+            lambda: all(each.link.era == 2 for each in world.instances)
+        )
+        world.store.put("servers", "e-1", feed_world.spec(sequence=2))
+        async with asyncio.timeout(1.0):
+            await world.until(
+                lambda: all(each.names == {"e-1"} for each in world.instances)
+            )
+
+    feed_world.run(scenario)
--- a/tests/seam_platform/test_settings_template.py
+++ b/tests/seam_platform/test_settings_template.py
@@ -32,7 +32,7 @@
 }
 
 
-def render(bounds):
+def render(bounds, **more):
     """Fills the template in as the platform's pages describe it."""
     values = {
         "node_name": "edge-1",
@@ -47,6 +47,7 @@
         "platform_api": {"address": "10.0.0.9:8142"},
         "limits": {"cpu_share": 0.717, "cores": 3},
         "bounds": bounds,
+        **more,
     }
 
     def value_of(path):
@@ -75,8 +76,15 @@
     return re.sub(r"\{\{([^#/][^}]*)\}\}", placeholder, text)
 
 
-def load(bounds):
-    return forward_settings.from_plain(tomllib.loads(render(bounds)))
+def load(bounds, **more):
+    rendered = render(bounds, **more)
+    return forward_settings.from_plain(tomllib.loads(rendered))
+
+
+@pytest.mark.parametrize("interval_ms", [1, 1200, 1250.5])
+def test_the_interval_of_announcements_is_taken_as_told(interval_ms):
+    found = load(BOUNDS, heartbeat_ms=interval_ms)
+    assert found.ok.store.announce_ms == interval_ms
 
 
 @pytest.mark.parametrize("name", BOUNDS)
--- a/tests/standins/feed_world.py
+++ b/tests/standins/feed_world.py
@@ -23,6 +23,7 @@
 
 MAX_AGE_S = 0.6
 WAIT_S = 0.2
+UNCONFIRMED_S = 2.5
 ENDPOINTS = catalog.Kind.ENDPOINTS
 ROUTES = catalog.Kind.ROUTES
 
@@ -52,14 +53,16 @@
         log = logs.Log(name)
         now = asyncio.get_running_loop().time
         self.routes = catalog_state.Routes(log)
-        self.endpoints = catalog_state.Endpoints(log)
+        self.endpoints = catalog_state.Endpoints(log, now)
         self.board = feed_board.FeedBoard()
         self.store_server = object_store.StoreServer(world.store)
         self.store_server.start()
         self.store = platform_store.StoreCatalog(
             f"http://127.0.0.1:{self.store_server.port}"
         )
-        self.link = link = store_link.StoreLink(now, log, lambda outcome: None)
+        self.link = link = store_link.StoreLink(
+            now, log, lambda outcome: None, unconfirmed_s=UNCONFIRMED_S
+        )
         self.watches = {
             kind: catalog_watch.CatalogWatch(
                 kind,
--- a/tests/standins/placement_world.py
+++ b/tests/standins/placement_world.py
@@ -98,7 +98,7 @@
         self.capacity = capacity
         self.events: list[str] = []
         now, log = world.now, logs.Log(name)
-        self.endpoints = catalog_state.Endpoints(log)
+        self.endpoints = catalog_state.Endpoints(log, now)
         for each in world.engines:
             self.endpoints.put(catalog.Entry(each.id, 1, each))
         self.stats = call_stats.CallStats()
