Write the quarantine again once the store was restored without it

Nobody wrote the record again, as it had not changed.

The coordinators write it at their next report (0.5 s) after hearing of a restore; an instance that becomes one later does so then. Entries are merged by generation, so one that was released does not come back from the copy. A write in whose course the store was restored is repeated: the version that it expected may be that of other entries. Three tests, each red without the rewriting.

--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -303,6 +303,9 @@
             self.settings.one_way_s,
             self._now,
         )
+        self._store_link.on_restored.append(
+            self.fleet.prompts.on_store_restored
+        )
         for kind_of_message, handle in self.fleet.handlers().items():
             self._port.handle(kind_of_message, handle)
         self._make_feed()
--- a/packages/seam_node/seam_node/forward/prompt_guard.py
+++ b/packages/seam_node/seam_node/forward/prompt_guard.py
@@ -79,6 +79,8 @@
             collections.OrderedDict()
         )
         """Parts of prompts that started at this instance, by service."""
+        self._rewrite_due = False
+        """Whether the store may have lost the quarantine in a restore."""
         self._record = quarantine_record.QuarantineRecord(
             store, self._quarantine.entries, self._merge_stored, log
         )
@@ -95,6 +97,17 @@
         """Returns the number of combinations of parts in quarantine."""
         return len(self._quarantine)
 
+    def on_store_restored(self) -> None:
+        """Has the quarantine written again by the coordinators."""
+        self._rewrite_due = True
+
+    def _rewrite_if_due(self) -> None:
+        if not self._rewrite_due or not self._links.coordinates():
+            return
+        self._rewrite_due = False
+        if self._quarantine.entries():
+            self._record.write()
+
     # Requests of this instance
 
     def rule(self, ctx: context.ForwardContext) -> quarantine.Ruling:
@@ -168,6 +181,7 @@
 
     def report(self) -> messages.PromptReport:
         """Returns what to tell the coordinators; clears the started ones."""
+        self._rewrite_if_due()
         now = self._now()
         while self._lost and self._lost[0].at < now - KEEP_LOST_S:
             self._lost.popleft()
--- a/packages/seam_node/seam_node/forward/quarantine_record.py
+++ b/packages/seam_node/seam_node/forward/quarantine_record.py
@@ -1,7 +1,8 @@
 """Keeps the quarantine in the platform's store.
 
 It lasts there while all instances are restarted at once, and new instances
-find it. It is read once at the start and written when it changes.
+find it. It is read once at the start, and written when it changes or when the
+store was restored from a copy that may lack it.
 """
 
 import asyncio
@@ -103,6 +104,7 @@
         return got.ok
 
     async def _merge_and_write(self) -> bool:
+        era = self._store.era
         stored = await self._read_stored()
         if stored is None:
             return False
@@ -112,4 +114,5 @@
         put = await self._store.put(KEY, data, stored.version)
         if put.is_error():
             self._log.error("quarantine_not_written", put.error)
-        return put.is_ok()
+        # After a restore the version may be that of other entries.
+        return put.is_ok() and self._store.era == era
--- a/tests/seam_node/forward/test_prompt_guard.py
+++ b/tests/seam_node/forward/test_prompt_guard.py
@@ -185,6 +185,63 @@
     placement_world.run(scenario)
 
 
+def restore_store(world, copy):
+    """Restores the store; all instances hear of it."""
+    world.store.restore(copy)
+    for each in world.instances.values():
+        each.fleet.prompts.on_store_restored()
+
+
+def test_the_quarantine_that_the_store_lost_outlasts_a_loss_of_power():
+    async def scenario(world):
+        copy = world.store.copy()
+        await condemn(world)
+        await asyncio.sleep(1.0)
+        restore_store(world, copy)
+        await asyncio.sleep(stream_reports.INTERVAL_S + TOLD_S)
+        await world.restart(*world.instances)
+        await asyncio.sleep(TOLD_S)
+        assert refusing(world) == list(world.instances)
+
+    placement_world.run(scenario)
+
+
+def test_a_restore_does_not_bring_a_released_prompt_back():
+    async def scenario(world):
+        await condemn(world)
+        await asyncio.sleep(1.0)
+        copy = world.store.copy()
+        start(world.placer, DEADLY)
+        await asyncio.sleep(1.0)
+        assert refusing(world) == []
+        restore_store(world, copy)
+        await asyncio.sleep(stream_reports.INTERVAL_S + TOLD_S)
+        await world.restart(*world.instances)
+        await asyncio.sleep(TOLD_S)
+        assert refusing(world) == []
+
+    placement_world.run(scenario)
+
+
+def test_the_quarantine_is_written_by_who_coordinates_after_a_restore():
+    """The coordinators die before they have written it again."""
+
+    async def scenario(world):
+        copy = world.store.copy()
+        await condemn(world)
+        await asyncio.sleep(1.0)
+        first, second = world.placer.order.responsive()
+        restore_store(world, copy)
+        for entry in (first, second):
+            world.silent.add(entry.name)
+            world.known_dead.add(entry.name)
+            await world.instances[entry.name].fleet.close()
+        await asyncio.sleep(REPORTED_S)
+        assert world.store.objects
+
+    placement_world.run(scenario, names=FIVE_INSTANCES)
+
+
 def test_the_quarantine_is_written_and_read_once_the_store_is_back():
     async def scenario(world):
         world.store.is_away = True
