List an instance again soon after the store was restored without it

What callers could see: an instance that started shortly before a restore is unknown to instances that start after it, for up to ten seconds (the interval of listings), so these name only themselves in entry answers and place requests alone. Nobody looked sooner whether the store still had the own entry.

Each instance now lists the entries within a second of hearing of the restore, spread by a hash of its name, so that a large fleet does not call at once, and writes its entry if it is missing. The test was red without the hook (5 s passed without a look). Entries of instances that left and are in the copy again harm nobody: entry answers name only those that send heartbeats.

--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -236,6 +236,7 @@
             self._now,
             self.log,
         )
+        self._store_link.on_restored.append(self.peers.on_store_restored)
         self.load = workload.WorkloadEstimate(self.settings.workload, self._now)
         self._suspend_watch = suspend_watch.SuspendWatch(
             self._now, self._on_resume, self.log
--- a/packages/seam_node/seam_node/forward/peers.py
+++ b/packages/seam_node/seam_node/forward/peers.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
+import zlib
 
 import attrs
 
@@ -36,6 +38,9 @@
 REFRESH_RETRY_INTERVAL_S = 0.5
 """The same while the listing fails or lacks this instance's own entry."""
 REFRESH_TIMEOUT_S = 2.0
+RESTORE_SPREAD_S = 1.0
+"""Time over which the instances list the entries after the store was restored
+from a copy, which may lack theirs."""
 
 
 @attrs.frozen
@@ -89,6 +94,7 @@
         self._listed = catalog_state.Instances()
         self._peers: dict[str, _Peer] = {}
         self._tasks: list[asyncio.Task] = []
+        self._refresh_due = asyncio.Event()
         self._scheduled_send: asyncio.Handle | None = None
         """Callback of the event loop that sends the next heartbeat."""
 
@@ -108,6 +114,16 @@
         if self._scheduled_send is not None:
             self._scheduled_send.cancel()
 
+    def on_store_restored(self) -> None:
+        """Looks soon whether the store still lists this instance.
+
+        Instances do so one after the other, in the order of a hash.
+        """
+        share = zlib.crc32(self._entry.name.encode()) / 2**32
+        asyncio.get_running_loop().call_later(
+            share * RESTORE_SPREAD_S, self._refresh_due.set
+        )
+
     def received_heartbeats(self) -> list[ReceivedHeartbeat]:
         """Returns the latest heartbeats of live peers, with their ages."""
         now = self._now()
@@ -230,10 +246,17 @@
                 if not is_listed:
                     self._on_unlisted()
                 await self._delete_ended_entries()
-            await asyncio.sleep(
+            await self._wait_for_refresh(
                 REFRESH_INTERVAL_S if is_listed else REFRESH_RETRY_INTERVAL_S
             )
 
+    async def _wait_for_refresh(self, interval_s: float) -> None:
+        """Waits until the next listing of the entries is due."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self._refresh_due.wait()
+        self._refresh_due.clear()
+
     async def _delete_ended_entries(self) -> None:
         """Deletes store entries of instances that ended without leaving.
 
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/test_peers.py
@@ -160,3 +160,18 @@
         assert [each.entry.incarnation for each in instance.live()] == [4000]
 
     run_scenario(scenario)
+
+
+def test_an_entry_that_the_store_lost_in_a_restore_is_missed_soon():
+    async def scenario(instance):
+        await instance.start()
+        await asyncio.sleep(1.0)
+        assert instance.unlisted == []
+        instance.source.names.discard("one")
+        restored_at = asyncio.get_running_loop().time()
+        instance.on_store_restored()
+        await asyncio.sleep(peers.REFRESH_INTERVAL_S / 2)
+        await instance.close()
+        assert instance.unlisted[0] - restored_at <= peers.RESTORE_SPREAD_S
+
+    run_scenario(scenario)
