Refuse no route as unknown while peers have a newer configuration

It cannot know by itself that its store shows an older version than its peers have had from it.

Heartbeats name the version in force, so an instance that is behind a live peer answers 503 instead, which callers repeat elsewhere. Requests that match a route are served as before. Cost: for the milliseconds between two instances' receipt of a new version, a route that never existed gets 503 instead of 404.

--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -451,6 +451,16 @@
         return self._exit_at - self._now()
 
     def _routes_up_to_date(self) -> bool:
+        """Returns whether a route that is not known does not exist.
+
+        A store that was just restored may show an older configuration than
+        the one that peers have had from it.
+        """
+        newest = max(
+            (each.routes_version for each in self.peers.live()), default=0
+        )
+        if self._routes_version() < newest:
+            return False
         up_to_date_s = time_bounds.up_to_date_s(self._watch_wait_s)
         return self._routes_watch.age_s() <= up_to_date_s
 
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -5,6 +5,7 @@
 from seam_node.forward import stages
 from seam_policy import time_bounds
 from standins import forward_endpoint
+from standins import forward_heartbeats
 from standins import forward_world
 
 
@@ -59,6 +60,20 @@
     forward_world.run_scenario(scenario)
 
 
+def test_an_instance_behind_its_peers_refuses_no_route_as_unknown():
+    """It started from a copy of the store that lacks the newest version."""
+
+    async def scenario(world):
+        assert (await world.request("/added/x")).status == 404
+        newer = forward_heartbeats.make_heartbeat("two", routes_version=99)
+        world.node.peers.receive(newer)
+        response = await world.request("/added/x")
+        assert response.status == 503
+        assert (await world.request("/calls/x")).status != 404
+
+    forward_world.run_scenario(scenario)
+
+
 def test_unknown_routes_get_503_while_the_store_is_unreachable(monkeypatch):
     monkeypatch.setattr(time_bounds, "up_to_date_s", lambda watch_wait_s: 0.0)
 
--- a/tests/standins/forward_heartbeats.py
+++ b/tests/standins/forward_heartbeats.py
@@ -15,8 +15,12 @@
     )
 
 
-def make_heartbeat(name="two", serving=True, incarnation=1):
+def make_heartbeat(name="two", serving=True, incarnation=1, routes_version=7):
     """Returns a heartbeat of an instance with one core."""
     return messages.Heartbeat(
-        make_instance_entry(name, incarnation), serving, 7, 1.0, True
+        make_instance_entry(name, incarnation),
+        serving,
+        routes_version,
+        1.0,
+        True,
     )
