Sort the forwarding modules into folders named for what they serve

Over forty modules lay flat in one folder. Those that follow the store, speak between instances, place requests, call endpoints and serve callers have a folder each now, with their tests beside them; node, daemon, gauges and the process-wide rest stay.

--- /dev/null
+++ b/packages/seam_node/seam_node/forward/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and requests of callers."""
--- a/packages/seam_node/seam_node/forward/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -11,7 +11,7 @@
 from tornado import iostream
 
 from seam_model import forwarding
-from seam_node.forward import context
+from seam_node.forward.callers import context
 
 CHUNK_BYTES = 64 * 1024
 
--- a/packages/seam_node/seam_node/forward/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 
 
 class CallerAnswer(abc.ABC):
--- a/packages/seam_node/seam_node/forward/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -7,9 +7,9 @@
 from seam_node import chain
 from seam_node import logs
 from seam_node import metrics
-from seam_node.forward import caller_server
-from seam_node.forward import context
-from seam_node.forward import refusals
+from seam_node.forward.callers import caller_server
+from seam_node.forward.callers import context
+from seam_node.forward.callers import refusals
 from seam_node.ports import wire
 
 MAX_LOGGED_PARTS = 8
--- a/packages/seam_node/seam_node/forward/relay.py
+++ b/packages/seam_node/seam_node/forward/callers/relay.py
@@ -6,8 +6,8 @@
 from tornado import httputil
 
 from seam_model import forwarding
-from seam_node.forward import context
-from seam_node.forward import exchange
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import exchange
 from seam_node.ports import wire
 
 EVENT_END = b"\n\n"
--- a/packages/seam_node/seam_node/forward/daemon.py
+++ b/packages/seam_node/seam_node/forward/daemon.py
@@ -19,10 +19,10 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node import metrics
-from seam_node.forward import entry
 from seam_node.forward import log_writer
 from seam_node.forward import node
-from seam_node.forward import side_servers
+from seam_node.forward.callers import entry
+from seam_node.forward.callers import side_servers
 from seam_node.ports import catalog
 from seam_node.ports import clock
 from seam_node.ports import wire
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to endpoints and what is known of them."""
--- a/packages/seam_node/seam_node/forward/endpoint_limits.py
+++ b/packages/seam_node/seam_node/forward/endpoints/endpoint_limits.py
@@ -10,8 +10,8 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import fleet_links
-from seam_node.forward import messages
+from seam_node.forward.fleet import fleet_links
+from seam_node.forward.fleet import messages
 from seam_policy import rate_limits
 
 FIRST_CHECK_INTERVAL_S = 0.1
--- a/packages/seam_node/seam_node/forward/engine_access.py
+++ b/packages/seam_node/seam_node/forward/endpoints/engine_access.py
@@ -3,11 +3,11 @@
 import attrs
 
 from seam_node import logs
-from seam_node.forward import call_stats
-from seam_node.forward import catalog_state
-from seam_node.forward import endpoint_limits
-from seam_node.forward import exchange
-from seam_node.forward import release_calls
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import endpoint_limits
+from seam_node.forward.endpoints import exchange
+from seam_node.forward.endpoints import release_calls
+from seam_node.forward.store import catalog_state
 from seam_node.ports import wire
 
 
--- a/packages/seam_node/seam_node/forward/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -12,9 +12,9 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import connections
-from seam_node.forward import endpoint_limits
 from seam_node.forward import sockets
+from seam_node.forward.endpoints import connections
+from seam_node.forward.endpoints import endpoint_limits
 from seam_node.ports import wire
 
 MAX_MISMATCHED_ANSWERS = 4
--- a/packages/seam_node/seam_node/forward/release_calls.py
+++ b/packages/seam_node/seam_node/forward/endpoints/release_calls.py
@@ -4,7 +4,7 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import exchange
+from seam_node.forward.endpoints import exchange
 
 RELEASE_TIMEOUT_S = 0.5
 
--- a/packages/seam_node/seam_node/forward/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -7,9 +7,9 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import call_stats
-from seam_node.forward import context
-from seam_node.forward import exchange
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import exchange
 from seam_node.ports import wire
 from seam_policy import retry_share
 
--- a/packages/seam_node/seam_node/forward/filters/attempt.py
+++ b/packages/seam_node/seam_node/forward/filters/attempt.py
@@ -2,10 +2,10 @@
 
 from seam_model import errors
 from seam_node import logs
-from seam_node.forward import context
-from seam_node.forward import prompt_guard
-from seam_node.forward import request_sender
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
+from seam_node.forward.placement import prompt_guard
 
 MAX_ATTEMPTS = 3
 MIN_TIME_LEFT_S = 0.3
--- a/packages/seam_node/seam_node/forward/filters/base.py
+++ b/packages/seam_node/seam_node/forward/filters/base.py
@@ -1,7 +1,7 @@
 """Base class of the filters for forwarded requests."""
 
 from seam_node import chain
-from seam_node.forward import context
+from seam_node.forward.callers import context
 
 Result = chain.Result
 Proceed = chain.Proceed
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -8,13 +8,13 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import call_stats
-from seam_node.forward import catalog_state
-from seam_node.forward import context
-from seam_node.forward import endpoint_limits
-from seam_node.forward import exchange
-from seam_node.forward import request_sender
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import endpoint_limits
+from seam_node.forward.endpoints import exchange
+from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
+from seam_node.forward.store import catalog_state
 from seam_node.ports import wire
 from seam_policy import endpoint_choice
 from seam_policy import retry_after_schedule
--- a/packages/seam_node/seam_node/forward/filters/deadline.py
+++ b/packages/seam_node/seam_node/forward/filters/deadline.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from seam_model import errors
-from seam_node.forward import context
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
 
 
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -6,16 +6,16 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import context
-from seam_node.forward import engine_outcomes
-from seam_node.forward import messages
-from seam_node.forward import placement
-from seam_node.forward import prompt_guard
-from seam_node.forward import relay
-from seam_node.forward import request_sender
-from seam_node.forward import workload
+from seam_node.forward.callers import context
+from seam_node.forward.callers import relay
+from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
 from seam_node.forward.filters import guard
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import engine_outcomes
+from seam_node.forward.placement import placement
+from seam_node.forward.placement import prompt_guard
+from seam_node.forward.placement import workload
 from seam_node.ports import wire
 
 MIN_SERVER_ERROR_STATUS = 500
--- a/packages/seam_node/seam_node/forward/filters/guard.py
+++ b/packages/seam_node/seam_node/forward/filters/guard.py
@@ -1,9 +1,9 @@
 """Refuses prompts that crash engines."""
 
 from seam_model import errors
-from seam_node.forward import context
-from seam_node.forward import prompt_guard
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
+from seam_node.forward.placement import prompt_guard
 from seam_policy import quarantine
 
 
--- a/packages/seam_node/seam_node/forward/filters/kind.py
+++ b/packages/seam_node/seam_node/forward/filters/kind.py
@@ -1,7 +1,7 @@
 """Runs the filter chain for the kind of service that a request is for."""
 
 from seam_node import chain
-from seam_node.forward import context
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
 
 
--- a/packages/seam_node/seam_node/forward/filters/leave.py
+++ b/packages/seam_node/seam_node/forward/filters/leave.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from seam_model import errors
-from seam_node.forward import context
-from seam_node.forward import workload
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
+from seam_node.forward.placement import workload
 
 MAX_PREFILL_S = 1.0
 """Assumed upper bound of the time from arrival to the first event."""
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -4,16 +4,16 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import call_stats
-from seam_node.forward import context
-from seam_node.forward import engine_access
-from seam_node.forward import exchange
-from seam_node.forward import messages
-from seam_node.forward import placement
-from seam_node.forward import prefill_engines
-from seam_node.forward import request_sender
-from seam_node.forward import workload
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.endpoints import exchange
+from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import placement
+from seam_node.forward.placement import prefill_engines
+from seam_node.forward.placement import workload
 from seam_node.ports import wire
 
 MIN_PREFILL_TIMEOUT_S = 1.2
--- a/packages/seam_node/seam_node/forward/filters/reserve.py
+++ b/packages/seam_node/seam_node/forward/filters/reserve.py
@@ -1,11 +1,11 @@
 """Holds a place at a decode engine while a model request runs."""
 
 from seam_model import errors
-from seam_node.forward import context
-from seam_node.forward import holds
-from seam_node.forward import messages
-from seam_node.forward import placement
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import holds
+from seam_node.forward.placement import placement
 
 
 class ReserveFilter(base.ForwardFilter):
--- a/packages/seam_node/seam_node/forward/filters/route.py
+++ b/packages/seam_node/seam_node/forward/filters/route.py
@@ -4,9 +4,9 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import catalog_state
-from seam_node.forward import context
+from seam_node.forward.callers import context
 from seam_node.forward.filters import base
+from seam_node.forward.store import catalog_state
 from seam_policy import weighted
 
 
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What instances tell each other."""
--- a/packages/seam_node/seam_node/forward/coordinators.py
+++ b/packages/seam_node/seam_node/forward/fleet/coordinators.py
@@ -11,7 +11,7 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 from seam_policy import rendezvous
 
 COUNT = 2
--- a/packages/seam_node/seam_node/forward/datagrams.py
+++ b/packages/seam_node/seam_node/forward/fleet/datagrams.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from seam_model import forwarding
-from seam_node.forward import message_codec
-from seam_node.forward import messages
+from seam_node.forward.fleet import message_codec
+from seam_node.forward.fleet import messages
 
 
 class DatagramPort(asyncio.DatagramProtocol):
--- a/packages/seam_node/seam_node/forward/fleet_links.py
+++ b/packages/seam_node/seam_node/forward/fleet/fleet_links.py
@@ -5,7 +5,7 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/forward/message_codec.py
+++ b/packages/seam_node/seam_node/forward/fleet/message_codec.py
@@ -12,7 +12,7 @@
 import attrs
 import msgpack
 
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 
 MAX_DATAGRAM_BYTES = 60_000
 _VERSION = 3
--- a/packages/seam_node/seam_node/forward/peers.py
+++ b/packages/seam_node/seam_node/forward/fleet/peers.py
@@ -13,9 +13,9 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_state
-from seam_node.forward import datagrams
-from seam_node.forward import messages
+from seam_node.forward.fleet import datagrams
+from seam_node.forward.fleet import messages
+from seam_node.forward.store import catalog_state
 from seam_node.ports import catalog
 
 HEARTBEAT_INTERVAL_S = 0.4
--- a/packages/seam_node/seam_node/forward/stream_reports.py
+++ b/packages/seam_node/seam_node/forward/fleet/stream_reports.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from seam_model import forwarding
-from seam_node.forward import coordinators
-from seam_node.forward import messages
-from seam_node.forward import prompt_guard
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import prompt_guard
 
 INTERVAL_S = 0.5
 IDLE_INTERVALS = 8
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Places for model requests at engines, and the engines' stages."""
--- a/packages/seam_node/seam_node/forward/decode_engines.py
+++ b/packages/seam_node/seam_node/forward/placement/decode_engines.py
@@ -6,10 +6,10 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import call_stats
-from seam_node.forward import engine_access
-from seam_node.forward import messages
-from seam_node.forward import workload
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import workload
 from seam_policy import decode_choice
 from seam_policy import rendezvous
 from seam_policy import stage_balance
--- a/packages/seam_node/seam_node/forward/engine_outcomes.py
+++ b/packages/seam_node/seam_node/forward/placement/engine_outcomes.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 
 from seam_node import logs
-from seam_node.forward import call_stats
-from seam_node.forward import messages
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.fleet import messages
 from seam_policy import decode_choice
 from seam_policy import endpoint_choice
 from seam_policy import stream_ledger
--- a/packages/seam_node/seam_node/forward/fleet_placement.py
+++ b/packages/seam_node/seam_node/forward/placement/fleet_placement.py
@@ -5,19 +5,19 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import coordinators
-from seam_node.forward import decode_engines
-from seam_node.forward import engine_access
-from seam_node.forward import engine_outcomes
-from seam_node.forward import fleet_links
-from seam_node.forward import messages
-from seam_node.forward import placement
-from seam_node.forward import placement_service
-from seam_node.forward import placer
-from seam_node.forward import prefill_engines
-from seam_node.forward import prompt_guard
-from seam_node.forward import stream_reports
-from seam_node.forward import workload
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.fleet import fleet_links
+from seam_node.forward.fleet import messages
+from seam_node.forward.fleet import stream_reports
+from seam_node.forward.placement import decode_engines
+from seam_node.forward.placement import engine_outcomes
+from seam_node.forward.placement import placement
+from seam_node.forward.placement import placement_service
+from seam_node.forward.placement import placer
+from seam_node.forward.placement import prefill_engines
+from seam_node.forward.placement import prompt_guard
+from seam_node.forward.placement import workload
 from seam_node.ports import objects
 from seam_policy import stream_ledger
 
--- a/packages/seam_node/seam_node/forward/holds.py
+++ b/packages/seam_node/seam_node/forward/placement/holds.py
@@ -4,10 +4,10 @@
 
 from seam_model import errors
 from seam_model import forwarding
-from seam_node.forward import call_stats
-from seam_node.forward import context
-from seam_node.forward import engine_access
-from seam_node.forward import exchange
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import call_stats
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.endpoints import exchange
 
 HOLD_TIMEOUT_S = 0.25
 HELD_OUTPUT_TOKENS = 256
--- a/packages/seam_node/seam_node/forward/placement.py
+++ b/packages/seam_node/seam_node/forward/placement/placement.py
@@ -14,12 +14,12 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_state
-from seam_node.forward import context
-from seam_node.forward import coordinators
-from seam_node.forward import engine_outcomes
-from seam_node.forward import messages
-from seam_node.forward import placer
+from seam_node.forward.callers import context
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import engine_outcomes
+from seam_node.forward.placement import placer
+from seam_node.forward.store import catalog_state
 from seam_policy import kv_forecast
 from seam_policy import stream_ledger
 
--- a/packages/seam_node/seam_node/forward/placement_service.py
+++ b/packages/seam_node/seam_node/forward/placement/placement_service.py
@@ -7,12 +7,12 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import endpoint_limits
-from seam_node.forward import engine_outcomes
-from seam_node.forward import messages
-from seam_node.forward import placer
-from seam_node.forward import prompt_guard
-from seam_node.forward import workload
+from seam_node.forward.endpoints import endpoint_limits
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import engine_outcomes
+from seam_node.forward.placement import placer
+from seam_node.forward.placement import prompt_guard
+from seam_node.forward.placement import workload
 from seam_policy import stream_ledger
 
 QUEUED_NOTICE_S = 0.02
--- a/packages/seam_node/seam_node/forward/placer.py
+++ b/packages/seam_node/seam_node/forward/placement/placer.py
@@ -12,11 +12,11 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import decode_engines
-from seam_node.forward import messages
-from seam_node.forward import prefill_engines
-from seam_node.forward import prompt_guard
-from seam_node.forward import workload
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import decode_engines
+from seam_node.forward.placement import prefill_engines
+from seam_node.forward.placement import prompt_guard
+from seam_node.forward.placement import workload
 from seam_policy import decode_choice
 from seam_policy import kv_forecast
 from seam_policy import output_length
--- a/packages/seam_node/seam_node/forward/prefill_engines.py
+++ b/packages/seam_node/seam_node/forward/placement/prefill_engines.py
@@ -7,7 +7,7 @@
 import attrs
 
 from seam_model import forwarding
-from seam_node.forward import engine_access
+from seam_node.forward.endpoints import engine_access
 from seam_policy import prefill_choice
 from seam_policy import stream_ledger
 
--- a/packages/seam_node/seam_node/forward/prompt_guard.py
+++ b/packages/seam_node/seam_node/forward/placement/prompt_guard.py
@@ -12,11 +12,11 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import context
-from seam_node.forward import exchange
-from seam_node.forward import fleet_links
-from seam_node.forward import messages
-from seam_node.forward import quarantine_record
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import exchange
+from seam_node.forward.fleet import fleet_links
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import quarantine_record
 from seam_node.ports import objects
 from seam_policy import crash_evidence
 from seam_policy import quarantine
--- a/packages/seam_node/seam_node/forward/stages.py
+++ b/packages/seam_node/seam_node/forward/placement/stages.py
@@ -16,10 +16,10 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.controllers import lease
-from seam_node.forward import catalog_state
-from seam_node.forward import engine_access
-from seam_node.forward import exchange
-from seam_node.forward import workload
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.endpoints import exchange
+from seam_node.forward.placement import workload
+from seam_node.forward.store import catalog_state
 from seam_node.ports import wire
 from seam_policy import stage_balance
 
--- a/packages/seam_node/seam_node/forward/workload.py
+++ b/packages/seam_node/seam_node/forward/placement/workload.py
@@ -5,7 +5,7 @@
 import attrs
 
 from seam_model import forward_settings
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 from seam_policy import estimate
 from seam_policy import stage_balance
 
--- a/packages/seam_node/seam_node/forward/announcer.py
+++ b/packages/seam_node/seam_node/forward/store/announcer.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from seam_model import forwarding
-from seam_node.forward import catalog_watch
+from seam_node.forward.store import catalog_watch
 from seam_node.ports import catalog
 
 
--- a/packages/seam_node/seam_node/forward/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -6,7 +6,7 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_watch
+from seam_node.forward.store import catalog_watch
 from seam_node.ports import catalog
 from seam_policy import announcement_memory
 from seam_policy import route_match
--- a/packages/seam_node/seam_node/forward/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_watch.py
@@ -7,8 +7,8 @@
 import expression
 
 from seam_model import errors
-from seam_node.forward import feed_board
-from seam_node.forward import store_link
+from seam_node.forward.store import feed_board
+from seam_node.forward.store import store_link
 from seam_node.ports import catalog
 from seam_policy import store_position
 
--- a/packages/seam_node/seam_node/forward/feed_client.py
+++ b/packages/seam_node/seam_node/forward/store/feed_client.py
@@ -10,9 +10,9 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_watch
-from seam_node.forward import coordinators
-from seam_node.forward import feed_codec
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.store import catalog_watch
+from seam_node.forward.store import feed_codec
 from seam_node.ports import catalog
 from seam_policy import rendezvous
 
--- a/packages/seam_node/seam_node/forward/feed_server.py
+++ b/packages/seam_node/seam_node/forward/store/feed_server.py
@@ -6,8 +6,8 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import feed_board
-from seam_node.forward import feed_codec
+from seam_node.forward.store import feed_board
+from seam_node.forward.store import feed_codec
 
 WRITE_TIMEOUT_S = 2.0
 """Time after which a follower that does not read is dropped."""
--- a/tests/seam_node/forward/test_entry.py
+++ b/tests/seam_node/forward/callers/test_entry.py
@@ -1,8 +1,8 @@
 """Tests of the answers to callers' entry queries."""
 
 from seam_model import forwarding
-from seam_node.forward import entry
-from seam_node.forward import messages
+from seam_node.forward.callers import entry
+from seam_node.forward.fleet import messages
 
 
 def make_heartbeat(name, data_centre="here", serving=True):
--- a/tests/seam_node/forward/test_refusals.py
+++ b/tests/seam_node/forward/callers/test_refusals.py
@@ -3,7 +3,7 @@
 import pytest
 
 from seam_model import errors
-from seam_node.forward import refusals
+from seam_node.forward.callers import refusals
 
 FAILURES = [
     errors.DeadlinePassed("endpoint"),
--- a/tests/seam_node/forward/test_fleet_limits.py
+++ b/tests/seam_node/forward/endpoints/test_fleet_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 from seam_policy import rate_limits
 from standins import placement_world
 
--- a/tests/seam_node/forward/test_message_codec.py
+++ b/tests/seam_node/forward/fleet/test_message_codec.py
@@ -3,8 +3,8 @@
 import msgpack
 import pytest
 
-from seam_node.forward import message_codec
-from seam_node.forward import messages
+from seam_node.forward.fleet import message_codec
+from seam_node.forward.fleet import messages
 from seam_policy import estimate
 from seam_policy import kv_forecast
 from standins import forward_heartbeats
--- a/tests/seam_node/forward/test_peers.py
+++ b/tests/seam_node/forward/fleet/test_peers.py
@@ -6,8 +6,8 @@
 import pytest
 
 from seam_node import logs
-from seam_node.forward import datagrams
-from seam_node.forward import peers
+from seam_node.forward.fleet import datagrams
+from seam_node.forward.fleet import peers
 from seam_node.ports import catalog
 from seam_policy import store_position
 from standins import forward_heartbeats
--- a/tests/seam_node/forward/test_placement.py
+++ b/tests/seam_node/forward/placement/test_placement.py
@@ -6,9 +6,9 @@
 import pytest
 
 from seam_model import errors
-from seam_node.forward import coordinators
-from seam_node.forward import messages
-from seam_node.forward import placement
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.fleet import messages
+from seam_node.forward.placement import placement
 from seam_policy import stream_ledger
 from standins import placement_world
 
--- a/tests/seam_node/forward/test_placer.py
+++ b/tests/seam_node/forward/placement/test_placer.py
@@ -7,7 +7,7 @@
 import attrs
 
 from seam_model import errors
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 from standins import placement_world
 
 FIRST_EVENT_S = 0.02
--- a/tests/seam_node/forward/test_prompt_guard.py
+++ b/tests/seam_node/forward/placement/test_prompt_guard.py
@@ -5,9 +5,9 @@
 import pytest
 
 from seam_model import errors
-from seam_node.forward import message_codec
-from seam_node.forward import messages
-from seam_node.forward import stream_reports
+from seam_node.forward.fleet import message_codec
+from seam_node.forward.fleet import messages
+from seam_node.forward.fleet import stream_reports
 from seam_policy import crash_evidence
 from seam_policy import quarantine
 from standins import placement_world
--- a/tests/seam_node/forward/test_workload.py
+++ b/tests/seam_node/forward/placement/test_workload.py
@@ -1,7 +1,7 @@
 """Tests of the load that is pooled over instances."""
 
 from seam_model import forward_settings
-from seam_node.forward import workload
+from seam_node.forward.placement import workload
 
 EXPECTED = forward_settings.WorkloadSettings(5000.0, 4000.0, 1200.0, 50_000.0)
 
--- a/tests/seam_node/forward/test_catalog_watch.py
+++ b/tests/seam_node/forward/store/test_catalog_watch.py
@@ -7,8 +7,8 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_watch
-from seam_node.forward import store_link
+from seam_node.forward.store import catalog_watch
+from seam_node.forward.store import store_link
 from seam_node.ports import catalog
 from seam_policy import store_position
 from standins import virtual_loop
--- a/tests/seam_node/forward/test_feed.py
+++ b/tests/seam_node/forward/store/test_feed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from seam_model import errors
-from seam_node.forward import feed_codec
+from seam_node.forward.store import feed_codec
 from seam_node.ports import catalog
 from seam_platform import objects
 from seam_policy import store_position
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from seam_node.forward import stages
+from seam_node.forward.placement import stages
 from seam_policy import time_bounds
 from standins import forward_endpoint
 from standins import forward_heartbeats
--- a/tests/standins/feed_world.py
+++ b/tests/standins/feed_world.py
@@ -6,15 +6,15 @@
 
 from seam_model import forwarding
 from seam_node import logs
-from seam_node.forward import catalog_state
-from seam_node.forward import catalog_watch
-from seam_node.forward import coordinators
-from seam_node.forward import feed_board
-from seam_node.forward import feed_client
-from seam_node.forward import feed_codec
-from seam_node.forward import feed_server
-from seam_node.forward import messages
-from seam_node.forward import store_link
+from seam_node.forward.fleet import coordinators
+from seam_node.forward.fleet import messages
+from seam_node.forward.store import catalog_state
+from seam_node.forward.store import catalog_watch
+from seam_node.forward.store import feed_board
+from seam_node.forward.store import feed_client
+from seam_node.forward.store import feed_codec
+from seam_node.forward.store import feed_server
+from seam_node.forward.store import store_link
 from seam_node.ports import catalog
 from seam_platform import store as platform_store
 from standins import forward_heartbeats
--- a/tests/standins/forward_heartbeats.py
+++ b/tests/standins/forward_heartbeats.py
@@ -1,7 +1,7 @@
 """Heartbeats of other forwarding instances, as test data."""
 
 from seam_model import forwarding
-from seam_node.forward import messages
+from seam_node.forward.fleet import messages
 
 
 def make_instance_entry(name, incarnation=1):
