--- a/bench/measure_fleet.py
+++ b/bench/measure_fleet.py
@@ -9,8 +9,8 @@
 from bench import measure_load
 from seam_model import config
 from seam_model import config_check
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import keys
 from seam_model import settings as node_settings
 from seam_node import node
@@ -71,7 +71,7 @@
                 return await inner(url, handle)
             self.remaining -= 1
             await asyncio.sleep(TRANSFER_STALL_S)
-            return expression.Error(errors.TransferFailed(name))
+            return expression.Error(endpoint_errors.TransferFailed(name))
 
         return import_kv
 
--- a/packages/seam_ctl/seam_ctl/client.py
+++ b/packages/seam_ctl/seam_ctl/client.py
@@ -22,6 +22,7 @@
 from seam_model import codec
 from seam_model import config
 from seam_model import errors
+from seam_model import operator_errors
 
 CONNECT_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 30.0
@@ -29,7 +30,7 @@
 
 _JSON = {"Content-Type": "application/json", "Expect": ""}
 _OK = 200
-_TRY_NEXT_URL = (errors.AdminUnreachable, errors.InstanceNotReady)
+_TRY_NEXT_URL = (operator_errors.AdminUnreachable, errors.InstanceNotReady)
 # libcurl result codes of calls that failed before any byte was sent.
 _NOT_SENT = frozenset(
     {
@@ -157,7 +158,7 @@
         """Sends a request to one instance after another until one answers."""
         sent = False
         result: expression.Result = expression.Error(
-            errors.AdminUnreachable("", sent)
+            operator_errors.AdminUnreachable("", sent)
         )
         for url in self._urls:
             result = await self._send_to(url, method, path, body, cls)
@@ -168,7 +169,9 @@
             # An instance may have applied the change although a later one
             # returned another error.
             urls = ",".join(self._urls)
-            return expression.Error(errors.AdminUnreachable(urls, True))
+            return expression.Error(
+                operator_errors.AdminUnreachable(urls, True)
+            )
         return result
 
     async def _send_to(
@@ -191,7 +194,9 @@
             return expression.Error(_failure(method, url, exc))
         except OSError:
             may_change = method != "GET"
-            return expression.Error(errors.AdminUnreachable(url, may_change))
+            return expression.Error(
+                operator_errors.AdminUnreachable(url, may_change)
+            )
         finally:
             client.close()
         return _parse(resp, cls)
@@ -203,13 +208,13 @@
     errno = getattr(exc, "errno", None)
     if errno is not None or exc.response is None:
         sent = method != "GET" and errno not in _NOT_SENT
-        return errors.AdminUnreachable(url, sent)
+        return operator_errors.AdminUnreachable(url, sent)
     body = codec.from_json(exc.response.body, admin.ErrorBody)
     error = admin.error_from_body(body.ok) if body.is_ok() else None
     if error is not None:
         return error
     text = exc.response.body.decode("utf-8", "replace")[:200]
-    return errors.AdminAnswerUnknown(exc.code, text)
+    return operator_errors.AdminAnswerUnknown(exc.code, text)
 
 
 def _parse(
@@ -219,7 +224,9 @@
     if resp.code == _OK and parsed.is_ok():
         return parsed
     detail = "" if parsed.is_ok() else parsed.error.describe()
-    return expression.Error(errors.AdminAnswerUnknown(resp.code, detail))
+    return expression.Error(
+        operator_errors.AdminAnswerUnknown(resp.code, detail)
+    )
 
 
 @attrs.frozen
@@ -245,4 +252,4 @@
             target = AdminClient(instance.admin_url, token)
             answer = await target.drain(name, why)
             return answer.map(lambda ok: DrainResult(instance.admin_url, ok))  # noqa: B023
-    return expression.Error(errors.NotFound("instance", name))
+    return expression.Error(operator_errors.NotFound("instance", name))
--- a/packages/seam_ctl/seam_ctl/exits.py
+++ b/packages/seam_ctl/seam_ctl/exits.py
@@ -1,6 +1,8 @@
 """Exit codes of the command line; scripts may rely on them."""
 
 from seam_model import errors
+from seam_model import operator_errors
+from seam_model import platform_errors
 
 OK = 0
 BUG = 1
@@ -23,21 +25,21 @@
     errors.BadInput: INVALID,
     errors.BodyUnreadable: INVALID,
     errors.ConfigInvalid: INVALID,
-    errors.InputInvalid: INVALID,
-    errors.ProfileInvalid: INVALID,
+    operator_errors.InputInvalid: INVALID,
+    operator_errors.ProfileInvalid: INVALID,
     errors.SettingsInvalid: INVALID,
-    errors.ConfigConflict: CONFLICT,
-    errors.Denied: DENIED,
-    errors.TokenUnknown: DENIED,
-    errors.NotFound: NOT_FOUND,
+    operator_errors.ConfigConflict: CONFLICT,
+    operator_errors.Denied: DENIED,
+    operator_errors.TokenUnknown: DENIED,
+    operator_errors.NotFound: NOT_FOUND,
     errors.InstanceNotReady: UNREACHABLE,
-    errors.PlatformUnavailable: UNREACHABLE,
-    errors.PlatformAmbiguous: UNSETTLED,
+    platform_errors.PlatformUnavailable: UNREACHABLE,
+    platform_errors.PlatformAmbiguous: UNSETTLED,
 }
 
 
 def code_of(error: errors.SeamError) -> int:
     """Returns the exit code for an error."""
-    if isinstance(error, errors.AdminUnreachable):
+    if isinstance(error, operator_errors.AdminUnreachable):
         return UNSETTLED if error.sent else UNREACHABLE
     return _CODES.get(type(error), BUG)
--- a/packages/seam_ctl/seam_ctl/profile.py
+++ b/packages/seam_ctl/seam_ctl/profile.py
@@ -13,6 +13,7 @@
 import expression
 
 from seam_model import errors
+from seam_model import operator_errors
 from seam_model import toml_check
 
 URL_VARIABLE = "SYCAMORESEAM_URL"
@@ -30,7 +31,7 @@
     token_file: str = ""
 
 
-ProfileResult = expression.Result[Profile, errors.ProfileInvalid]
+ProfileResult = expression.Result[Profile, operator_errors.ProfileInvalid]
 
 
 def find(
@@ -90,5 +91,7 @@
     return expression.Ok(attrs.evolve(merged, token=token))
 
 
-def _problem(text: str) -> expression.Result[Any, errors.ProfileInvalid]:
-    return expression.Error(errors.ProfileInvalid(text))
+def _problem(
+    text: str,
+) -> expression.Result[Any, operator_errors.ProfileInvalid]:
+    return expression.Error(operator_errors.ProfileInvalid(text))
--- a/packages/seam_model/seam_model/config_edit.py
+++ b/packages/seam_model/seam_model/config_edit.py
@@ -5,6 +5,7 @@
 
 from seam_model import config
 from seam_model import errors
+from seam_model import operator_errors
 
 DraftResult = expression.Result[config.Draft, errors.SeamError]
 
@@ -30,5 +31,5 @@
     """Returns the draft without one exception. Errors: `NotFound`."""
     rules = tuple(each for each in draft.exceptions if each.id != rule_id)
     if len(rules) == len(draft.exceptions):
-        return expression.Error(errors.NotFound("exception", rule_id))
+        return expression.Error(operator_errors.NotFound("exception", rule_id))
     return expression.Ok(attrs.evolve(draft, exceptions=rules))
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -46,50 +46,6 @@
     kind: str
 
 
-# Platform
-
-
-@attrs.frozen
-class PlatformError(SeamError):
-    """Base class of errors of the platform's object service."""
-
-    code = "platform"
-
-
-@attrs.frozen
-class PlatformUnavailable(PlatformError):
-    """The platform could not be reached, so the call had no effect."""
-
-    code = "platform_unavailable"
-    operation: str
-
-
-@attrs.frozen
-class PlatformAmbiguous(PlatformError):
-    """The platform's answer was lost; a write may have taken effect."""
-
-    code = "platform_ambiguous"
-    operation: str
-
-
-@attrs.frozen
-class VersionConflict(PlatformError):
-    """A conditional update expected a version other than the current one."""
-
-    code = "version_conflict"
-    key: str
-    expected: int
-    current: int
-
-
-@attrs.frozen
-class ObjectMissing(PlatformError):
-    """The object does not exist."""
-
-    code = "object_missing"
-    key: str
-
-
 # Peers
 
 
@@ -122,83 +78,6 @@
     code = "peer_unauthenticated"
 
 
-# Endpoints
-
-
-@attrs.frozen
-class EndpointError(SeamError):
-    """Base class of errors of engines and services."""
-
-    code = "endpoint"
-    endpoint: str
-
-
-@attrs.frozen
-class EndpointUnreachable(EndpointError):
-    """The endpoint could not be reached; no byte of the order was received."""
-
-    code = "endpoint_unreachable"
-
-
-@attrs.frozen
-class EndpointGone(EndpointUnreachable):
-    """Nothing listens at the endpoint's address any more."""
-
-
-@attrs.frozen
-class EndpointLost(EndpointError):
-    """The connection broke or timed out after the order was sent."""
-
-    code = "endpoint_lost"
-
-
-@attrs.frozen
-class EndpointFull(EndpointError):
-    """The endpoint refused the order because its slots or memory are full."""
-
-    code = "endpoint_full"
-
-
-@attrs.frozen
-class KvExpired(EndpointError):
-    """The KV cache of a finished prefill is no longer available."""
-
-    code = "kv_expired"
-
-
-@attrs.frozen
-class TransferFailed(EndpointError):
-    """The KV cache could not be transferred to the decode engine.
-
-    The prefill engine may still hold it.
-    """
-
-    code = "transfer_failed"
-
-
-@attrs.frozen
-class StreamUnknown(EndpointError):
-    """The engine has no stream of the request."""
-
-    code = "stream_unknown"
-
-
-@attrs.frozen
-class OrderFenced(EndpointError):
-    """The engine refused an order because its fencing token is outdated."""
-
-    code = "order_fenced"
-    fence: int
-
-
-@attrs.frozen
-class OrderRejected(EndpointError):
-    """The endpoint received the order and rejected it."""
-
-    code = "order_rejected"
-    status: int
-
-
 # Callers' input
 
 
@@ -453,105 +332,9 @@
     silent_s: float
 
 
-# Operators
-
-
-@attrs.frozen
-class Denied(SeamError):
-    """The operator's role does not permit the action."""
-
-    code = "denied"
-    needed: str
-
-
-@attrs.frozen
-class InputInvalid(SeamError):
-    """An operator's request is invalid; lists every problem."""
-
-    code = "input_invalid"
-    problems: tuple[BadInput, ...]
-
-    def describe(self) -> str:
-        """Returns one line for each problem."""
-        return list_problems(self.code, self.problems)
-
-
-@attrs.frozen
-class TokenUnknown(SeamError):
-    """The operator's token is missing or unknown."""
-
-    code = "token_unknown"
-
-
-@attrs.frozen
-class NotFound(SeamError):
-    """The object that the operator named does not exist."""
-
-    code = "not_found"
-    kind: str
-    name: str
-
-
-@attrs.frozen
-class AdminUnreachable(SeamError):
-    """The admin address of an instance did not answer."""
-
-    code = "admin_unreachable"
-    url: str
-    sent: bool
-    """Whether an instance may have received a request that makes a change."""
-
-
-@attrs.frozen
-class AdminAnswerUnknown(SeamError):
-    """The admin address sent an answer of unknown form."""
-
-    code = "admin_answer_unknown"
-    status: int
-    detail: str
-
-
-@attrs.frozen
-class ProfileInvalid(SeamError):
-    """The operator's profile or environment is incomplete or invalid."""
-
-    code = "profile_invalid"
-    problem: str
-
-
-@attrs.frozen
-class ConfigConflict(SeamError):
-    """Another configuration change was accepted first."""
-
-    code = "config_conflict"
-    version: int
-    who: str
-    when: str
-    what: str
-
-
 # Forwarding
 
 
-@attrs.frozen
-class HistoryGone(PlatformError):
-    """The store no longer keeps the changes after a revision."""
-
-    code = "history_gone"
-    revision: int
-
-
-@attrs.frozen
-class StoreOutdated(PlatformError):
-    """The answer is from before the store was restored from a copy.
-
-    What was written by such a call is lost.
-    """
-
-    code = "store_outdated"
-    operation: str
-
-
 @attrs.frozen
 class RouteUnknown(SeamError):
     """No route of the configuration in force matches the request."""
@@ -568,29 +351,6 @@
     code = "routes_unproved"
 
 
-@attrs.frozen
-class EndpointRefused(EndpointError):
-    """The endpoint stated that it did not execute the request."""
-
-    code = "endpoint_refused"
-    status: int
-
-
-@attrs.frozen
-class EndpointMisdirected(EndpointError):
-    """Another incarnation now listens on the endpoint's address."""
-
-    code = "endpoint_misdirected"
-
-
-@attrs.frozen
-class AnswerInvalid(EndpointError):
-    """The endpoint's answer is invalid and is not forwarded."""
-
-    code = "answer_invalid"
-    detail: str
-
-
 @attrs.frozen
 class NoDecodePlace(SeamError):
     """No decode engine had free capacity in time."""
--- a/packages/seam_node/seam_node/adapters/engine_http.py
+++ b/packages/seam_node/seam_node/adapters/engine_http.py
@@ -7,8 +7,8 @@
 from tornado import httpclient
 
 from seam_model import codec
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node.adapters import curl
 from seam_node.adapters import engine_stream
 from seam_node.ports import engine
@@ -20,7 +20,7 @@
 
 def decode_refusal(
     endpoint: str, status: int, body: bytes
-) -> errors.EndpointError:
+) -> endpoint_errors.EndpointError:
     """Decodes an engine's error answer into a typed error."""
     try:
         plain = json.loads(body)
@@ -30,16 +30,16 @@
         plain = {}
     code = plain.get("code")
     for cls in (
-        errors.EndpointFull,
-        errors.KvExpired,
-        errors.TransferFailed,
-        errors.StreamUnknown,
+        endpoint_errors.EndpointFull,
+        endpoint_errors.KvExpired,
+        endpoint_errors.TransferFailed,
+        endpoint_errors.StreamUnknown,
     ):
         if code == cls.code:
             return cls(endpoint)
-    if code == errors.OrderFenced.code:
-        return errors.OrderFenced(endpoint, int(plain.get("fence", 0)))
-    return errors.OrderRejected(endpoint, status)
+    if code == endpoint_errors.OrderFenced.code:
+        return endpoint_errors.OrderFenced(endpoint, int(plain.get("fence", 0)))
+    return endpoint_errors.OrderRejected(endpoint, status)
 
 
 class HttpEngine(engine.Engine):
@@ -60,7 +60,9 @@
 
     async def prefill(
         self, order: endpoints.PrefillOrder, timeout_s: float
-    ) -> expression.Result[endpoints.PrefillDone, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.PrefillDone, endpoint_errors.EndpointError
+    ]:
         """Computes a prompt's KV cache."""
         answer = await self._call(
             "POST", "/v1/prefill", timeout_s, codec.to_json(order)
@@ -69,7 +71,7 @@
 
     async def decode(
         self, order: endpoints.DecodeOrder, timeout_s: float
-    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+    ) -> expression.Result[engine.DecodeStream, endpoint_errors.EndpointError]:
         """Imports a KV cache and starts a stream."""
         return await self._open_stream(
             "/v1/decode", codec.to_json(order), timeout_s
@@ -77,7 +79,7 @@
 
     async def resume(
         self, order: endpoints.ResumeOrder, timeout_s: float
-    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+    ) -> expression.Result[engine.DecodeStream, endpoint_errors.EndpointError]:
         """Attaches to a stream after an event id."""
         return await self._open_stream(
             "/v1/resume", codec.to_json(order), timeout_s
@@ -85,7 +87,7 @@
 
     async def cancel(
         self, request_id: str, incarnation: int
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Frees a request's resources at the engine."""
         path = f"/v1/streams/{request_id}?incarnation={incarnation}"
         answer = await self._call("DELETE", path, CONTROL_TIMEOUT_S)
@@ -93,7 +95,7 @@
 
     async def load(
         self,
-    ) -> expression.Result[endpoints.LoadReport, errors.EndpointError]:
+    ) -> expression.Result[endpoints.LoadReport, endpoint_errors.EndpointError]:
         """Returns the engine's load report."""
         answer = await self._call("GET", "/v1/load", CONTROL_TIMEOUT_S)
         return self._decode(answer, endpoints.LoadReport)
@@ -101,7 +103,7 @@
     async def cache_events(
         self, after: int
     ) -> expression.Result[
-        tuple[endpoints.CacheEvent, ...], errors.EndpointError
+        tuple[endpoints.CacheEvent, ...], endpoint_errors.EndpointError
     ]:
         """Returns cache events after a sequence number."""
         path = f"/v1/cache-events?after={after}"
@@ -110,7 +112,7 @@
 
     async def configure(
         self, order: endpoints.ModelOrder, timeout_s: float
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Sets role, models and adapters."""
         answer = await self._call(
             "POST", "/v1/configure", timeout_s, codec.to_json(order)
@@ -137,7 +139,7 @@
 
     def _body_or_error(
         self, answer: curl.Answer
-    ) -> expression.Result[bytes, errors.EndpointError]:
+    ) -> expression.Result[bytes, endpoint_errors.EndpointError]:
         if answer.status == 0:
             return expression.Error(self._no_answer_error(answer.maybe_sent))
         if answer.status >= 300:
@@ -153,13 +155,13 @@
         parsed = codec.from_json(body.ok, cls)
         if parsed.is_error():
             return expression.Error(
-                errors.OrderRejected(self._name, answer.status)
+                endpoint_errors.OrderRejected(self._name, answer.status)
             )
         return parsed
 
     async def _open_stream(
         self, path: str, body: bytes, timeout_s: float
-    ) -> expression.Result[engine.DecodeStream, errors.EndpointError]:
+    ) -> expression.Result[engine.DecodeStream, endpoint_errors.EndpointError]:
         stream = engine_stream.CurlDecodeStream(
             self._name, self._silence_timeout_s, self._reuse
         )
@@ -174,10 +176,12 @@
             decode_refusal(self._name, head.status, head.body)
         )
 
-    def _no_answer_error(self, maybe_sent: bool) -> errors.EndpointError:
+    def _no_answer_error(
+        self, maybe_sent: bool
+    ) -> endpoint_errors.EndpointError:
         if maybe_sent:
-            return errors.EndpointLost(self._name)
-        return errors.EndpointUnreachable(self._name)
+            return endpoint_errors.EndpointLost(self._name)
+        return endpoint_errors.EndpointUnreachable(self._name)
 
 
 class HttpEngineFactory(engine.EngineFactory):
--- a/packages/seam_node/seam_node/adapters/engine_stream.py
+++ b/packages/seam_node/seam_node/adapters/engine_stream.py
@@ -7,8 +7,8 @@
 import pycurl
 from tornado import httpclient
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node.adapters import curl as curl_adapter
 from seam_node.ports import engine
 
@@ -110,19 +110,25 @@
 
     async def read(
         self,
-    ) -> expression.Result[endpoints.TokenChunk | None, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.TokenChunk | None, endpoint_errors.EndpointError
+    ]:
         """Waits for the next complete events."""
         while True:
             end = self._buffer.rfind(_EVENT_END)
             if end >= 0:
                 return self._take_chunk(end + 2)
             if self._ended or self._closed:
-                return expression.Error(errors.EndpointLost(self._endpoint))
+                return expression.Error(
+                    endpoint_errors.EndpointLost(self._endpoint)
+                )
             if not await self._wait_for_data():
                 if not self._closed:
                     self._reuse.note_timeout()
                 self._abort()
-                return expression.Error(errors.EndpointLost(self._endpoint))
+                return expression.Error(
+                    endpoint_errors.EndpointLost(self._endpoint)
+                )
 
     async def close(self) -> None:
         """Stops reading; libcurl closes the connection."""
@@ -130,14 +136,18 @@
 
     def _take_chunk(
         self, end: int
-    ) -> expression.Result[endpoints.TokenChunk | None, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.TokenChunk | None, endpoint_errors.EndpointError
+    ]:
         data = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._resume_transfer()
         chunk = parse_events(data)
         if chunk is None:
             self._abort()
-            return expression.Error(errors.EndpointLost(self._endpoint))
+            return expression.Error(
+                endpoint_errors.EndpointLost(self._endpoint)
+            )
         return expression.Ok(chunk)
 
     async def _wait_for_data(self) -> bool:
--- a/packages/seam_node/seam_node/adapters/platform_http.py
+++ b/packages/seam_node/seam_node/adapters/platform_http.py
@@ -18,7 +18,7 @@
 
 from seam_model import codec
 from seam_model import endpoints
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.adapters import curl
 from seam_node.ports import platform
 
@@ -81,14 +81,14 @@
 
     async def get(
         self, key: str
-    ) -> expression.Result[platform.Stored, errors.PlatformError]:
+    ) -> expression.Result[platform.Stored, platform_errors.PlatformError]:
         """Returns an object, or `ObjectMissing`."""
         result = await self._send(_Call("get", "GET", _object_path(key)))
         return result.bind(lambda resp: _decode_object(key, resp))
 
     async def put(
         self, key: str, data: bytes, expected: int
-    ) -> expression.Result[int, errors.PlatformError]:
+    ) -> expression.Result[int, platform_errors.PlatformError]:
         """Writes if the current version is `expected`; returns the new one."""
         call = _Call("put", "PUT", _object_path(key), data, expected)
         result = await self._send(call)
@@ -98,12 +98,12 @@
             return expression.Error(_conflict_error(key, expected, result.ok))
         version = _decode_version(result.ok)
         if version is None:
-            return expression.Error(errors.PlatformAmbiguous("put"))
+            return expression.Error(platform_errors.PlatformAmbiguous("put"))
         return expression.Ok(version)
 
     async def delete(
         self, key: str, expected: int
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Deletes an object if its current version is `expected`."""
         path = _object_path(key)
         call = _Call("delete", "DELETE", path, expected=expected)
@@ -114,7 +114,7 @@
 
     async def list_keys(
         self, prefix: str
-    ) -> expression.Result[tuple[str, ...], errors.PlatformError]:
+    ) -> expression.Result[tuple[str, ...], platform_errors.PlatformError]:
         """Returns the keys that start with `prefix`, sorted."""
         query = urllib.parse.urlencode({"prefix": prefix})
         call = _Call("list", "GET", f"/v1/objects?{query}")
@@ -125,11 +125,13 @@
             keys = json.loads(result.ok.body)["keys"]
             return expression.Ok(tuple(sorted(str(key) for key in keys)))
         except (ValueError, KeyError, TypeError):
-            return expression.Error(errors.PlatformUnavailable("list"))
+            return expression.Error(platform_errors.PlatformUnavailable("list"))
 
     async def watch(
         self, key: str, above: int, timeout_s: float
-    ) -> expression.Result[platform.Stored | None, errors.PlatformError]:
+    ) -> expression.Result[
+        platform.Stored | None, platform_errors.PlatformError
+    ]:
         """Waits for a version above `above`; returns None on timeout."""
         query = urllib.parse.urlencode({"above": above, "timeout_s": timeout_s})
         path = f"{_object_path(key)}?{query}"
@@ -140,7 +142,7 @@
 
     async def fleet(
         self,
-    ) -> expression.Result[endpoints.FleetList, errors.PlatformError]:
+    ) -> expression.Result[endpoints.FleetList, platform_errors.PlatformError]:
         """Returns the list of instances and endpoints, which may lag."""
         result = await self._send(
             _Call("fleet", "GET", "/v1/fleet", etag=self._fleet_etag)
@@ -151,14 +153,16 @@
             return expression.Ok(self._fleet)
         listed = codec.from_json(result.ok.body, endpoints.FleetList)
         if listed.is_error():
-            return expression.Error(errors.PlatformUnavailable("fleet"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("fleet")
+            )
         self._fleet = listed.ok
         self._fleet_etag = result.ok.headers.get("Etag", "")
         return listed
 
     async def announce(
         self, record: endpoints.InstanceRecord
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Lists this instance; must be repeated to keep it listed."""
         name = urllib.parse.quote(record.name, safe="")
         path = f"/v1/fleet/instances/{name}"
@@ -172,7 +176,9 @@
         may have had one.
         """
         if self._client is None:
-            return expression.Error(errors.PlatformUnavailable(call.operation))
+            return expression.Error(
+                platform_errors.PlatformUnavailable(call.operation)
+            )
         try:
             resp = await self._client.fetch(
                 self._request(call), raise_error=False
@@ -210,10 +216,10 @@
         )
 
 
-def _error_for(call: _Call, exc: Any) -> errors.PlatformError:
+def _error_for(call: _Call, exc: Any) -> platform_errors.PlatformError:
     if call.method == "GET" or getattr(exc, "errno", None) in _NOT_SENT_CODES:
-        return errors.PlatformUnavailable(call.operation)
-    return errors.PlatformAmbiguous(call.operation)
+        return platform_errors.PlatformUnavailable(call.operation)
+    return platform_errors.PlatformAmbiguous(call.operation)
 
 
 def _object_path(key: str) -> str:
@@ -227,16 +233,18 @@
 
 def _conflict_error(
     key: str, expected: int, resp: tornado.httpclient.HTTPResponse
-) -> errors.VersionConflict:
-    return errors.VersionConflict(key, expected, _decode_version(resp) or 0)
+) -> platform_errors.VersionConflict:
+    return platform_errors.VersionConflict(
+        key, expected, _decode_version(resp) or 0
+    )
 
 
 def _decode_object(
     key: str, resp: tornado.httpclient.HTTPResponse
-) -> expression.Result[platform.Stored, errors.PlatformError]:
+) -> expression.Result[platform.Stored, platform_errors.PlatformError]:
     if resp.code == NOT_FOUND:
-        return expression.Error(errors.ObjectMissing(key))
+        return expression.Error(platform_errors.ObjectMissing(key))
     version = _decode_version(resp)
     if version is None:
-        return expression.Error(errors.PlatformUnavailable("get"))
+        return expression.Error(platform_errors.PlatformUnavailable("get"))
     return expression.Ok(platform.Stored(key, version, resp.body))
--- a/packages/seam_node/seam_node/adapters/service_http.py
+++ b/packages/seam_node/seam_node/adapters/service_http.py
@@ -4,8 +4,8 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import requests
 from seam_node.adapters import curl
 from seam_node.ports import service
@@ -22,7 +22,9 @@
 
     async def call(
         self, record: endpoints.EndpointRecord, order: endpoints.ServiceOrder
-    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+    ) -> expression.Result[
+        requests.ServiceReply, endpoint_errors.EndpointError
+    ]:
         """Sends one call and waits for its reply."""
         path = "/v1/{}/{}".format(
             urllib.parse.quote(order.service, safe=""),
@@ -45,9 +47,11 @@
             at_most_once=bool(order.key),
         )
         if answer.status == 0 and not answer.maybe_sent:
-            return expression.Error(errors.EndpointUnreachable(record.name))
+            return expression.Error(
+                endpoint_errors.EndpointUnreachable(record.name)
+            )
         if answer.status == 0:
-            return expression.Error(errors.EndpointLost(record.name))
+            return expression.Error(endpoint_errors.EndpointLost(record.name))
         content_type = answer.content_type or DEFAULT_CONTENT_TYPE
         return expression.Ok(
             requests.ServiceReply(answer.status, content_type, answer.body)
--- a/packages/seam_node/seam_node/controllers/audit.py
+++ b/packages/seam_node/seam_node/controllers/audit.py
@@ -8,6 +8,7 @@
 from seam_model import codec
 from seam_model import config
 from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import platform as platform_port
 
 PageResult = expression.Result[admin.ChangeList, errors.SeamError]
@@ -53,6 +54,6 @@
     stored = await platform.get(config.audit_key(version))
     if stored.is_ok():
         return codec.from_json(stored.ok.data, config.Change)
-    if isinstance(stored.error, errors.ObjectMissing):
+    if isinstance(stored.error, platform_errors.ObjectMissing):
         return expression.Ok(None)
     return stored
--- a/packages/seam_node/seam_node/controllers/claim_store.py
+++ b/packages/seam_node/seam_node/controllers/claim_store.py
@@ -16,6 +16,7 @@
 from seam_model import claims
 from seam_model import errors
 from seam_model import peers
+from seam_model import platform_errors
 from seam_node.ports import platform as platform_port
 
 ATTEMPTS = 8
@@ -141,9 +142,9 @@
                 return answers
             self.invalidate(object_key)
             bypass_cache = True
-            if isinstance(put.error, errors.PlatformAmbiguous):
+            if isinstance(put.error, platform_errors.PlatformAmbiguous):
                 ambiguous = True
-            elif not isinstance(put.error, errors.VersionConflict):
+            elif not isinstance(put.error, platform_errors.VersionConflict):
                 if not ambiguous:
                     break
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -154,7 +155,7 @@
     ) -> expression.Result[_CachedObject, errors.SeamError]:
         got = await self._platform.get(object_key)
         if got.is_error():
-            if isinstance(got.error, errors.ObjectMissing):
+            if isinstance(got.error, platform_errors.ObjectMissing):
                 return expression.Ok(_CachedObject(platform_port.ABSENT, {}))
             return expression.Error(got.error)
         version = got.ok.version
--- a/packages/seam_node/seam_node/controllers/claims.py
+++ b/packages/seam_node/seam_node/controllers/claims.py
@@ -17,6 +17,7 @@
 from seam_model import errors
 from seam_model import ids
 from seam_model import peers
+from seam_model import platform_errors
 from seam_model import requests
 from seam_node import task
 from seam_node.controllers import claim_store
@@ -300,5 +301,5 @@
         claims.ClaimState.OUTSIDE: errors.KeyOutsideWindow(key),
         claims.ClaimState.FULL: errors.ClaimsFull(key),
     }
-    unavailable = errors.PlatformUnavailable("claim")
+    unavailable = platform_errors.PlatformUnavailable("claim")
     return expression.Error(failures.get(state, unavailable))
--- a/packages/seam_node/seam_node/controllers/config.py
+++ b/packages/seam_node/seam_node/controllers/config.py
@@ -16,7 +16,9 @@
 from seam_model import config
 from seam_model import config_check
 from seam_model import errors
+from seam_model import operator_errors
 from seam_model import peers
+from seam_model import platform_errors
 from seam_node import task
 from seam_node.ports import clock as clock_port
 from seam_node.ports import peer as peer_port
@@ -181,13 +183,13 @@
 
     def _is_missing(self, result: expression.Result) -> bool:
         return result.is_error() and isinstance(
-            result.error, errors.ObjectMissing
+            result.error, platform_errors.ObjectMissing
         )
 
     def _take(self, result: expression.Result) -> bool:
         """Processes an answer; returns whether to query again without delay."""
         if result.is_error():
-            if not isinstance(result.error, errors.ObjectMissing):
+            if not isinstance(result.error, platform_errors.ObjectMissing):
                 return False
             self._last_contact_at = self._clock.monotonic()
             self._confirmed = True
@@ -273,16 +275,18 @@
             if result.is_ok():
                 return result
             error = result.error
-            if isinstance(error, errors.PlatformAmbiguous):
+            if isinstance(error, platform_errors.PlatformAmbiguous):
                 sent = True
-            elif isinstance(error, errors.VersionConflict):
+            elif isinstance(error, platform_errors.VersionConflict):
                 pass
-            elif not (sent and isinstance(error, errors.PlatformError)):
+            elif not (
+                sent and isinstance(error, platform_errors.PlatformError)
+            ):
                 return result
             await asyncio.sleep(RETRY_DELAY_S)
         if sent:
-            return expression.Error(errors.PlatformAmbiguous("apply"))
-        return expression.Error(errors.PlatformUnavailable("apply"))
+            return expression.Error(platform_errors.PlatformAmbiguous("apply"))
+        return expression.Error(platform_errors.PlatformUnavailable("apply"))
 
     async def _attempt(
         self, request: _ChangeRequest
@@ -317,7 +321,9 @@
                 return decoded
             base = _Base(decoded.ok, result.ok.version)
         if base.cfg.version < self._held_version():
-            return expression.Error(errors.PlatformUnavailable("stale read"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("stale read")
+            )
         return expression.Ok(base)
 
     def _next(
@@ -367,15 +373,17 @@
 
     async def _archive_change(
         self, change: config.Change
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Writes an accepted change to its own object, which never changes."""
         key = config.audit_key(change.version)
         data = config_check.encode(change)
         result = await self._platform.put(key, data, platform_port.ABSENT)
         if result.is_error() and not isinstance(
-            result.error, errors.VersionConflict
+            result.error, platform_errors.VersionConflict
         ):
-            return expression.Error(errors.PlatformUnavailable("audit"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("audit")
+            )
         return expression.Ok(None)
 
 
@@ -400,9 +408,11 @@
     return size > config.OBJECT_MAX_BYTES and len(cfg.changes) > 1
 
 
-def _conflict(cfg: config.FleetConfig) -> errors.ConfigConflict:
+def _conflict(cfg: config.FleetConfig) -> operator_errors.ConfigConflict:
     if not cfg.changes:
-        return errors.ConfigConflict(cfg.version, "", "", "")
+        return operator_errors.ConfigConflict(cfg.version, "", "", "")
     last = cfg.changes[-1]
     what = "; ".join(last.what)
-    return errors.ConfigConflict(cfg.version, last.who, last.when, what)
+    return operator_errors.ConfigConflict(
+        cfg.version, last.who, last.when, what
+    )
--- a/packages/seam_node/seam_node/controllers/lease.py
+++ b/packages/seam_node/seam_node/controllers/lease.py
@@ -14,7 +14,7 @@
 import expression
 
 from seam_model import codec
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node import task
 from seam_node.ports import clock as clock_port
 from seam_node.ports import objects
@@ -162,7 +162,7 @@
     async def _observe(self) -> None:
         got = await self._platform.get(self._key)
         if got.is_error():
-            if not isinstance(got.error, errors.ObjectMissing):
+            if not isinstance(got.error, platform_errors.ObjectMissing):
                 return
             version, record = objects.ABSENT, None
         else:
@@ -258,7 +258,7 @@
             self._valid_until_s = float("-inf")
 
     async def _read_back(
-        self, put: expression.Result[int, errors.PlatformError]
+        self, put: expression.Result[int, platform_errors.PlatformError]
     ) -> None:
-        if not isinstance(put.error, errors.PlatformUnavailable):
+        if not isinstance(put.error, platform_errors.PlatformUnavailable):
             await self._observe()
--- a/packages/seam_node/seam_node/controllers/reaper.py
+++ b/packages/seam_node/seam_node/controllers/reaper.py
@@ -9,8 +9,8 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import ids
 from seam_model import peers
 from seam_node.controllers import membership
@@ -53,7 +53,7 @@
 
     async def _cancel_stream(
         self, engine: engine_port.Engine, stream: endpoints.HeldStream
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         done = await engine.cancel(stream.request_id, stream.incarnation)
         if done.is_ok():
             self._on_cancelled(stream)
--- a/packages/seam_node/seam_node/controllers/roles.py
+++ b/packages/seam_node/seam_node/controllers/roles.py
@@ -12,8 +12,8 @@
 import attrs
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node import task
 from seam_node.controllers import lease as lease_module
 from seam_node.ports import clock as clock_port
@@ -163,13 +163,13 @@
 
     async def _configure(
         self, record: endpoints.EndpointRecord, order: endpoints.ModelOrder
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         engine = self._engines.engine(record)
         try:
             async with asyncio.timeout(self._timeout_s):
                 return await engine.configure(order, self._timeout_s)
         except TimeoutError:
-            return expression.Error(errors.EndpointLost(record.name))
+            return expression.Error(endpoint_errors.EndpointLost(record.name))
 
 
 def _matches(record: endpoints.EndpointRecord, target: WantedState) -> bool:
--- a/packages/seam_node/seam_node/filters/call.py
+++ b/packages/seam_node/seam_node/filters/call.py
@@ -5,6 +5,7 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
 from seam_model import errors
 from seam_model import requests
@@ -67,7 +68,7 @@
             if sent.is_ok():
                 return sent
             last = sent.error
-            if not isinstance(last, errors.EndpointUnreachable):
+            if not isinstance(last, endpoint_errors.EndpointUnreachable):
                 ctx.reached_endpoint = True
                 return expression.Error(errors.OutcomeUnknown(ctx.call.key))
         return expression.Error(last)
@@ -146,7 +147,9 @@
 
     async def _send(
         self, ctx: base.Context, record: endpoints.EndpointRecord
-    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+    ) -> expression.Result[
+        requests.ServiceReply, endpoint_errors.EndpointError
+    ]:
         call = ctx.call
         order = endpoints.ServiceOrder(
             call.service,
--- a/packages/seam_node/seam_node/filters/deduplicate.py
+++ b/packages/seam_node/seam_node/filters/deduplicate.py
@@ -4,6 +4,7 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
 from seam_model import errors
 from seam_model import ids
@@ -18,9 +19,9 @@
 CANCEL_ATTEMPTS = 3
 CANCEL_PAUSE_S = 0.5
 _STREAM_MAY_SURVIVE = (
-    errors.EndpointLost,
-    errors.EndpointUnreachable,
-    errors.StreamUnknown,
+    endpoint_errors.EndpointLost,
+    endpoint_errors.EndpointUnreachable,
+    endpoint_errors.StreamUnknown,
 )
 """Errors after which another instance may still reach the stream."""
 
@@ -114,7 +115,7 @@
             ctx.stream = opened.ok
             run.stream = opened.ok
             return base.OK
-        if not isinstance(opened.error, errors.StreamUnknown):
+        if not isinstance(opened.error, endpoint_errors.StreamUnknown):
             return base.fail(opened.error)
         if run.final_outcome:
             return base.fail(errors.AlreadyEnded(run.final_outcome))
@@ -130,7 +131,7 @@
     def _prepare_placement(self, ctx: base.Context) -> base.Result:
         """Prepares a run for placement; fails if events were already sent."""
         if ctx.generate.after_seq > 0:
-            return base.fail(errors.StreamUnknown(ctx.run.engine))
+            return base.fail(endpoint_errors.StreamUnknown(ctx.run.engine))
         ctx.run.engine = ""
         return base.OK
 
--- a/packages/seam_node/seam_node/filters/retry.py
+++ b/packages/seam_node/seam_node/filters/retry.py
@@ -1,15 +1,16 @@
 """Retries model requests that failed before their stream started."""
 
+from seam_model import endpoint_errors
 from seam_model import errors
 from seam_node.filters import base
 from seam_policy import retry
 
 _RETRYABLE = (
-    errors.EndpointUnreachable,
-    errors.EndpointLost,
-    errors.EndpointFull,
-    errors.KvExpired,
-    errors.TransferFailed,
+    endpoint_errors.EndpointUnreachable,
+    endpoint_errors.EndpointLost,
+    endpoint_errors.EndpointFull,
+    endpoint_errors.KvExpired,
+    endpoint_errors.TransferFailed,
     errors.PeerUnreachable,
     errors.PeerTimeout,
 )
--- a/packages/seam_node/seam_node/filters/stream.py
+++ b/packages/seam_node/seam_node/filters/stream.py
@@ -4,8 +4,8 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node.controllers import engines
 from seam_node.controllers import ownership_check
 from seam_node.controllers import runs
@@ -104,7 +104,7 @@
         await ctx.stream.close()
         record = self._directory.record(ctx.run.engine)
         if failures > RESUME_ATTEMPTS or record is None:
-            return base.fail(errors.EndpointLost(ctx.run.engine))
+            return base.fail(endpoint_errors.EndpointLost(ctx.run.engine))
         ctx.note(self.name, f"resume after event {ctx.next_seq - 1}")
         order = endpoints.ResumeOrder(
             ctx.run.request_id,
@@ -118,7 +118,7 @@
             ctx.stream = opened.ok
             ctx.run.stream = opened.ok
             return base.OK
-        if isinstance(opened.error, errors.StreamUnknown):
+        if isinstance(opened.error, endpoint_errors.StreamUnknown):
             return expression.Error(opened.error)
         await asyncio.sleep(RESUME_PAUSE_S)
         return await self._resume(ctx, failures + 1)
--- a/packages/seam_node/seam_node/filters/transfer.py
+++ b/packages/seam_node/seam_node/filters/transfer.py
@@ -5,6 +5,7 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
 from seam_model import errors
 from seam_model import ids
@@ -69,7 +70,7 @@
             ctx.kv = prefilled.ok
         opened = await self._decode(ctx, ctx.kv)
         if opened.is_error():
-            if isinstance(opened.error, errors.KvExpired):
+            if isinstance(opened.error, endpoint_errors.KvExpired):
                 ctx.excluded.add(ctx.kv.engine)
             return base.fail(opened.error)
         ctx.note(self.name, "stream open")
@@ -155,12 +156,15 @@
         )
 
     async def _prefill_failed(
-        self, ctx: base.Context, name: str, error: errors.EndpointError
+        self, ctx: base.Context, name: str, error: endpoint_errors.EndpointError
     ) -> None:
         ctx.excluded.add(name)
-        if isinstance(error, errors.EndpointUnreachable):
+        if isinstance(error, endpoint_errors.EndpointUnreachable):
             ctx.reached_endpoint = ctx.attempt > 0
-        if isinstance(error, errors.EndpointUnreachable | errors.EndpointLost):
+        if isinstance(
+            error,
+            endpoint_errors.EndpointUnreachable | endpoint_errors.EndpointLost,
+        ):
             self._directory.suspect(name)
             await self._cancel(name, ctx.run)
 
@@ -181,7 +185,7 @@
                 return opened
             if kv.expires_at - ctx.now() < base.KV_RETRY_MARGIN_S:
                 return opened
-            if isinstance(opened.error, errors.TransferFailed):
+            if isinstance(opened.error, endpoint_errors.TransferFailed):
                 if not may_retry_transfer:
                     return opened
                 may_retry_transfer = False
@@ -197,7 +201,7 @@
                 return opened
 
     def _is_reserved_slot_busy(self, error: errors.SeamError) -> bool:
-        full = isinstance(error, errors.EndpointFull)
+        full = isinstance(error, endpoint_errors.EndpointFull)
         return full and self._planner.reserves
 
     async def _wait_for_slot(
@@ -247,14 +251,16 @@
         return opened
 
     async def _decode_failed(
-        self, ctx: base.Context, name: str, error: errors.EndpointError
+        self, ctx: base.Context, name: str, error: endpoint_errors.EndpointError
     ) -> None:
-        if isinstance(error, errors.TransferFailed | errors.KvExpired):
+        if isinstance(
+            error, endpoint_errors.TransferFailed | endpoint_errors.KvExpired
+        ):
             return
         ctx.excluded.add(name)
-        if isinstance(error, errors.EndpointFull):
+        if isinstance(error, endpoint_errors.EndpointFull):
             return
-        if isinstance(error, errors.EndpointLost):
+        if isinstance(error, endpoint_errors.EndpointLost):
             # A single stalled transfer is weak evidence of a failed engine.
             self._directory.report_failure(name)
         else:
--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from seam_model import endpoint_errors
 from seam_model import errors
 from seam_model import forwarding
 from seam_node import chain
@@ -135,7 +136,7 @@
         kind_name = ctx.route.kind.value if ctx.route else "none"
         rank = str(ctx.route.rank) if ctx.route else ""
         self._metrics.request_ended(kind_name, rank, outcome, took_s)
-        if ctx.req.prompt and isinstance(error, errors.EndpointLost):
+        if ctx.req.prompt and isinstance(error, endpoint_errors.EndpointLost):
             self._metrics.stream_lost(ctx.first_byte_at is not None)
         if ctx.first_byte_at is not None:
             self._metrics.first_token(rank, ctx.first_byte_at - ctx.arrived_at)
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/chains.py
@@ -0,0 +1,100 @@
+"""Builds the filter chain for the requests of callers."""
+
+from collections.abc import Callable
+
+import attrs
+
+from seam_node import chain
+from seam_node import logs
+from seam_node.forward.endpoints import endpoint_limits
+from seam_node.forward.endpoints import engine_access
+from seam_node.forward.endpoints import request_sender
+from seam_node.forward.filters import attempt
+from seam_node.forward.filters import call
+from seam_node.forward.filters import deadline
+from seam_node.forward.filters import decode
+from seam_node.forward.filters import guard
+from seam_node.forward.filters import kind
+from seam_node.forward.filters import leave
+from seam_node.forward.filters import prefill
+from seam_node.forward.filters import reserve
+from seam_node.forward.filters import route
+from seam_node.forward.placement import fleet_placement
+from seam_node.forward.placement import holds
+from seam_node.forward.placement import workload
+from seam_node.forward.store import catalog_state
+
+
+@attrs.frozen
+class Parts:
+    """What the filters of an instance share."""
+
+    instance: str
+    """Name of the instance."""
+    routes: catalog_state.Routes
+    engines: engine_access.EngineAccess
+    limits: endpoint_limits.EndpointLimits
+    sender: request_sender.RequestSender
+    fleet: fleet_placement.FleetPlacement
+    load: workload.WorkloadEstimate
+    log: logs.Log
+    one_way_delay_s: Callable[[str], float]
+    """Returns the one-way delay to a data centre."""
+    routes_up_to_date: Callable[[], bool]
+    """Returns whether a route that is not known does not exist."""
+    time_to_exit_s: Callable[[], float | None]
+    """Returns the time until exit; None if the instance is not leaving."""
+
+
+def make(parts: Parts) -> chain.Chain:
+    """Returns the chain that all requests pass."""
+    return chain.Chain(
+        [
+            route.RouteFilter(parts.routes, parts.routes_up_to_date),
+            leave.LeaveFilter(parts.instance, parts.time_to_exit_s, parts.load),
+            deadline.DeadlineFilter(),
+            kind.KindFilter(_model_chain(parts), _plain_chain(parts)),
+        ]
+    )
+
+
+def _model_chain(parts: Parts) -> chain.Chain:
+    fleet = parts.fleet
+    return chain.Chain(
+        [
+            attempt.AttemptFilter(parts.sender, fleet.prompts, parts.log),
+            guard.GuardFilter(fleet.prompts),
+            reserve.ReserveFilter(
+                fleet.places, holds.EngineHolds(parts.engines)
+            ),
+            prefill.PrefillFilter(
+                parts.engines,
+                parts.sender,
+                fleet.prefills,
+                fleet.places,
+                parts.load,
+            ),
+            decode.DecodeFilter(
+                parts.sender,
+                parts.engines.codec,
+                fleet.outcomes,
+                parts.load,
+                fleet.places,
+                fleet.prompts,
+            ),
+        ]
+    )
+
+
+def _plain_chain(parts: Parts) -> chain.Chain:
+    return chain.Chain(
+        [
+            call.CallFilter(
+                parts.engines.endpoints,
+                parts.engines.stats,
+                parts.limits,
+                parts.sender,
+                parts.one_way_delay_s,
+            )
+        ]
+    )
--- a/packages/seam_node/seam_node/forward/endpoints/connections.py
+++ b/packages/seam_node/seam_node/forward/endpoints/connections.py
@@ -6,7 +6,7 @@
 import expression
 from tornado import iostream
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward import sockets
 
@@ -18,7 +18,9 @@
 MAX_IDLE_PER_ADDRESS = 8
 """Maximum number of idle connections to one address."""
 
-Opened = expression.Result[sockets.EndpointStream, errors.EndpointError]
+Opened = expression.Result[
+    sockets.EndpointStream, endpoint_errors.EndpointError
+]
 
 
 class Connections:
@@ -48,7 +50,7 @@
         """
         opened = await self._open(address)
         if opened.is_error():
-            return isinstance(opened.error, errors.EndpointGone)
+            return isinstance(opened.error, endpoint_errors.EndpointGone)
         opened.ok.close()
         return False
 
@@ -111,7 +113,9 @@
             is_gone = isinstance(stream.error, ConnectionRefusedError)
             stream.close()
             error = (
-                errors.EndpointGone if is_gone else errors.EndpointUnreachable
+                endpoint_errors.EndpointGone
+                if is_gone
+                else endpoint_errors.EndpointUnreachable
             )
             return expression.Error(error(str(address)))
         except asyncio.CancelledError:
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -10,7 +10,7 @@
 from tornado import httputil
 from tornado import iostream
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward import sockets
 from seam_node.forward.endpoints import connections
@@ -28,7 +28,9 @@
     max_header_size=64 * 1024, max_body_size=64 * 1024 * 1024
 )
 
-SendResult = expression.Result[forwarding.AnswerHead, errors.EndpointError]
+SendResult = expression.Result[
+    forwarding.AnswerHead, endpoint_errors.EndpointError
+]
 
 
 class Receiver(abc.ABC):
@@ -161,7 +163,7 @@
         finally:
             self._release_connection(address, stream, head)
         if head is None:
-            return expression.Error(errors.EndpointLost(str(address)))
+            return expression.Error(endpoint_errors.EndpointLost(str(address)))
         return expression.Ok(head)
 
     async def is_refused(self, address: forwarding.Address) -> bool:
@@ -224,7 +226,7 @@
     address: forwarding.Address,
     call: forwarding.EndpointCall,
     timeout_s: float,
-) -> expression.Result[bytes, errors.EndpointError]:
+) -> expression.Result[bytes, endpoint_errors.EndpointError]:
     """Sends an internal call; returns the body of a successful answer.
 
     Errors: `EndpointRefused` for a status other than success;
@@ -235,12 +237,12 @@
         async with asyncio.timeout(timeout_s):
             sent = await client.send(address, call, body)
     except TimeoutError:
-        return expression.Error(errors.EndpointLost(str(address)))
+        return expression.Error(endpoint_errors.EndpointLost(str(address)))
     if sent.is_error():
         return expression.Error(sent.error)
     head = sent.ok
     if not head.success:
         return expression.Error(
-            errors.EndpointRefused(str(address), head.status)
+            endpoint_errors.EndpointRefused(str(address), head.status)
         )
     return expression.Ok(body.body)
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -4,7 +4,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward.callers import context
@@ -14,12 +14,12 @@
 from seam_policy import retry_share
 
 _DEPRIORITIZING_ERRORS = (
-    errors.EndpointUnreachable,
-    errors.EndpointMisdirected,
+    endpoint_errors.EndpointUnreachable,
+    endpoint_errors.EndpointMisdirected,
 )
 """Errors after which an endpoint is deprioritized for a while."""
 
-Sent = expression.Result[forwarding.AnswerHead, errors.EndpointError]
+Sent = expression.Result[forwarding.AnswerHead, endpoint_errors.EndpointError]
 
 
 class RequestSender:
@@ -87,9 +87,9 @@
         self,
         ctx: context.ForwardContext,
         endpoint: forwarding.Endpoint,
-        error: errors.EndpointError,
+        error: endpoint_errors.EndpointError,
     ) -> None:
-        if isinstance(error, errors.EndpointUnreachable):
+        if isinstance(error, endpoint_errors.EndpointUnreachable):
             ctx.tried.remove(endpoint.key)
             ctx.sends -= 1
         if isinstance(error, _DEPRIORITIZING_ERRORS):
@@ -106,8 +106,10 @@
         )
 
 
-def _may_have_run(error: errors.EndpointError) -> bool:
-    return isinstance(error, errors.EndpointLost | errors.AnswerInvalid)
+def _may_have_run(error: endpoint_errors.EndpointError) -> bool:
+    return isinstance(
+        error, endpoint_errors.EndpointLost | endpoint_errors.AnswerInvalid
+    )
 
 
 def _check_answer(endpoint: forwarding.Endpoint, sent: Sent) -> Sent:
@@ -116,13 +118,17 @@
         return sent
     head = sent.ok
     if head.misdirected:
-        return expression.Error(errors.EndpointMisdirected(endpoint.id))
+        return expression.Error(
+            endpoint_errors.EndpointMisdirected(endpoint.id)
+        )
     if not head.ran:
         return expression.Error(
-            errors.EndpointRefused(endpoint.id, head.status)
+            endpoint_errors.EndpointRefused(endpoint.id, head.status)
         )
     if not head.signed:
         return expression.Error(
-            errors.AnswerInvalid(endpoint.id, "not signed by the endpoint")
+            endpoint_errors.AnswerInvalid(
+                endpoint.id, "not signed by the endpoint"
+            )
         )
     return sent
--- a/packages/seam_node/seam_node/forward/filters/attempt.py
+++ b/packages/seam_node/seam_node/forward/filters/attempt.py
@@ -1,5 +1,6 @@
 """Retries model requests whose attempt failed, where that is safe."""
 
+from seam_model import endpoint_errors
 from seam_model import errors
 from seam_node import logs
 from seam_node.forward.callers import context
@@ -12,12 +13,12 @@
 """Remaining time that another attempt requires at least."""
 
 _NOT_EXECUTED = (
-    errors.EndpointRefused,
-    errors.EndpointUnreachable,
-    errors.EndpointMisdirected,
-    errors.KvExpired,
+    endpoint_errors.EndpointRefused,
+    endpoint_errors.EndpointUnreachable,
+    endpoint_errors.EndpointMisdirected,
+    endpoint_errors.KvExpired,
 )
-_MAY_HAVE_RUN = (errors.EndpointLost, errors.AnswerInvalid)
+_MAY_HAVE_RUN = (endpoint_errors.EndpointLost, endpoint_errors.AnswerInvalid)
 
 
 class AttemptFilter(base.ForwardFilter):
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -6,6 +6,7 @@
 import attrs
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
@@ -167,7 +168,7 @@
             )
             return sent
         except TimeoutError:
-            return expression.Error(errors.EndpointLost(endpoint.id))
+            return expression.Error(endpoint_errors.EndpointLost(endpoint.id))
         except asyncio.CancelledError:
             # A caller that disconnects early is no failure of the endpoint;
             # a missed deadline is.
@@ -222,12 +223,12 @@
 ) -> bool:
     if ctx.remaining_s() <= 0:
         return False
-    if isinstance(error, errors.EndpointUnreachable):
+    if isinstance(error, endpoint_errors.EndpointUnreachable):
         return True
-    if isinstance(error, errors.EndpointMisdirected):
+    if isinstance(error, endpoint_errors.EndpointMisdirected):
         return True
     if ctx.sends >= ctx.route.max_attempts:
         return False
-    if isinstance(error, errors.EndpointRefused):
+    if isinstance(error, endpoint_errors.EndpointRefused):
         return True
     return ctx.route.may_retry()
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -4,7 +4,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
 from seam_node.forward.callers import relay
@@ -24,7 +24,7 @@
 of the engine."""
 RATE_AFTER_S = 0.6
 """Duration after which the output rate of a stream is recorded."""
-_ENGINE_FAILURES = (errors.EndpointLost, errors.AnswerInvalid)
+_ENGINE_FAILURES = (endpoint_errors.EndpointLost, endpoint_errors.AnswerInvalid)
 
 
 class DecodeFilter(base.ForwardFilter):
@@ -85,13 +85,13 @@
                 self._record(ctx, failed=True)
             raise
         if sent.is_ok() and not stream_relay.is_whole():
-            lost = errors.EndpointLost(ctx.placement.decode.id)
+            lost = endpoint_errors.EndpointLost(ctx.placement.decode.id)
             sent = expression.Error(lost)
         self._record(ctx, _is_engine_failure(sent))
         if sent.is_error():
             ctx.failed_keys.add(ctx.placement.decode.key)
             ctx.engine_crashed = (
-                isinstance(sent.error, errors.EndpointLost)
+                isinstance(sent.error, endpoint_errors.EndpointLost)
                 and not rate.started
                 and await self._prompts.has_crashed(ctx, ctx.placement.decode)
             )
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -2,7 +2,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import call_stats
@@ -124,7 +124,7 @@
         kv_backoff = self._stats.kv_backoff(kv.endpoint)
         if result.is_ok():
             kv_backoff.record_kv_fetched()
-        elif isinstance(result.error, errors.EndpointRefused):
+        elif isinstance(result.error, endpoint_errors.EndpointRefused):
             pause_s = kv_backoff.record_kv_lost()
             self._stats.exclude(kv.endpoint.key, ctx.now() + pause_s)
             self._log.event(
@@ -140,7 +140,7 @@
         ctx: context.ForwardContext,
         engine: forwarding.Endpoint,
         queued_s: float,
-    ) -> expression.Result[context.PrefilledKv, errors.EndpointError]:
+    ) -> expression.Result[context.PrefilledKv, endpoint_errors.EndpointError]:
         """Prefills at one engine and reports how it went."""
         ctx.prefills += 1
         started_at = ctx.now()
@@ -191,7 +191,7 @@
         ctx: context.ForwardContext,
         engine: forwarding.Endpoint,
         queued_s: float,
-    ) -> expression.Result[context.PrefilledKv, errors.EndpointError]:
+    ) -> expression.Result[context.PrefilledKv, endpoint_errors.EndpointError]:
         remaining_s = ctx.remaining_s()
         options = wire.SendOptions(remaining_s, rank=ctx.engine_rank())
         call = self._codec.prefill_call(ctx.req, engine, options)
@@ -202,26 +202,27 @@
             min(MIN_PREFILL_TIMEOUT_S + 2 * queued_s, remaining_s),
         )
         if response.is_error():
-            if isinstance(response.error, errors.EndpointUnreachable):
+            if isinstance(response.error, endpoint_errors.EndpointUnreachable):
                 until = ctx.now() + call_stats.UNREACHABLE_BACKOFF_S
                 self._stats.deprioritize(engine.key, until)
             return expression.Error(response.error)
         done = self._codec.decode_prefill_done(response.ok)
         if done is None:
             return expression.Error(
-                errors.AnswerInvalid(engine.id, "no KV handle")
+                endpoint_errors.AnswerInvalid(engine.id, "no KV handle")
             )
         return expression.Ok(context.PrefilledKv(engine, done.handle))
 
 
 def _outcome(
-    done: expression.Result[context.PrefilledKv, errors.EndpointError] | None,
+    done: expression.Result[context.PrefilledKv, endpoint_errors.EndpointError]
+    | None,
 ) -> messages.Outcome:
     """Returns how a prefill went; None if it was cancelled."""
     if done is None:
         return messages.Outcome.UNKNOWN
     if done.is_ok():
         return messages.Outcome.SERVED
-    if isinstance(done.error, errors.EndpointRefused):
+    if isinstance(done.error, endpoint_errors.EndpointRefused):
         return messages.Outcome.FULL
     return messages.Outcome.FAILED
--- a/packages/seam_node/seam_node/forward/filters/reserve.py
+++ b/packages/seam_node/seam_node/forward/filters/reserve.py
@@ -1,6 +1,6 @@
 """Holds a place at a decode engine while a model request runs."""
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_node.forward.callers import context
 from seam_node.forward.filters import base
 from seam_node.forward.fleet import messages
@@ -65,10 +65,10 @@
                 self._holds.release(engine, hold_id)
 
 
-def _outcome(error: errors.EndpointError) -> messages.Outcome:
+def _outcome(error: endpoint_errors.EndpointError) -> messages.Outcome:
     """Returns what a failed hold tells the placers."""
-    if isinstance(error, errors.EndpointRefused):
+    if isinstance(error, endpoint_errors.EndpointRefused):
         return messages.Outcome.FULL
-    if isinstance(error, errors.EndpointGone):
+    if isinstance(error, endpoint_errors.EndpointGone):
         return messages.Outcome.GONE
     return messages.Outcome.UNKNOWN
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -1,7 +1,6 @@
 """Assembles a forwarding instance and manages its life cycle."""
 
 import asyncio
-from collections.abc import Callable
 import socket
 
 import attrs
@@ -14,6 +13,7 @@
 from seam_node import metrics
 from seam_node import task
 from seam_node.controllers import lease
+from seam_node.forward import chains
 from seam_node.forward import forward_gauges
 from seam_node.forward import suspend_watch
 from seam_node.forward.callers import caller_server
@@ -26,21 +26,10 @@
 from seam_node.forward.endpoints import exchange
 from seam_node.forward.endpoints import release_calls
 from seam_node.forward.endpoints import request_sender
-from seam_node.forward.filters import attempt
-from seam_node.forward.filters import call
-from seam_node.forward.filters import deadline
-from seam_node.forward.filters import decode
-from seam_node.forward.filters import guard
-from seam_node.forward.filters import kind
-from seam_node.forward.filters import leave
-from seam_node.forward.filters import prefill
-from seam_node.forward.filters import reserve
-from seam_node.forward.filters import route
 from seam_node.forward.fleet import datagrams
 from seam_node.forward.fleet import messages
 from seam_node.forward.fleet import peers
 from seam_node.forward.placement import fleet_placement
-from seam_node.forward.placement import holds
 from seam_node.forward.placement import stages
 from seam_node.forward.placement import workload
 from seam_node.forward.store import announcer
@@ -379,53 +368,20 @@
         )
 
     def _make_chain(self) -> chain.Chain:
-        one_way_delay_s: Callable[[str], float] = self.settings.one_way_s
-        model_chain = chain.Chain(
-            [
-                attempt.AttemptFilter(
-                    self.sender, self.fleet.prompts, self.log
-                ),
-                guard.GuardFilter(self.fleet.prompts),
-                reserve.ReserveFilter(
-                    self.fleet.places, holds.EngineHolds(self._engines)
-                ),
-                prefill.PrefillFilter(
-                    self._engines,
-                    self.sender,
-                    self.fleet.prefills,
-                    self.fleet.places,
-                    self.load,
-                ),
-                decode.DecodeFilter(
-                    self.sender,
-                    self.ports.wire,
-                    self.fleet.outcomes,
-                    self.load,
-                    self.fleet.places,
-                    self.fleet.prompts,
-                ),
-            ]
-        )
-        plain_chain = chain.Chain(
-            [
-                call.CallFilter(
-                    self.endpoints,
-                    self.stats,
-                    self.limits,
-                    self.sender,
-                    one_way_delay_s,
-                )
-            ]
-        )
-        return chain.Chain(
-            [
-                route.RouteFilter(self.routes, self._routes_up_to_date),
-                leave.LeaveFilter(
-                    self.entry.name, self._time_to_exit_s, self.load
-                ),
-                deadline.DeadlineFilter(),
-                kind.KindFilter(model_chain, plain_chain),
-            ]
+        return chains.make(
+            chains.Parts(
+                self.entry.name,
+                self.routes,
+                self._engines,
+                self.limits,
+                self.sender,
+                self.fleet,
+                self.load,
+                self.log,
+                self.settings.one_way_s,
+                self._routes_up_to_date,
+                self._time_to_exit_s,
+            )
         )
 
     def _controllers(self) -> tuple:
--- a/packages/seam_node/seam_node/forward/placement/holds.py
+++ b/packages/seam_node/seam_node/forward/placement/holds.py
@@ -2,7 +2,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import call_stats
@@ -27,7 +27,7 @@
 
     async def take(
         self, ctx: context.ForwardContext, engine: forwarding.Endpoint
-    ) -> expression.Result[str, errors.EndpointError]:
+    ) -> expression.Result[str, endpoint_errors.EndpointError]:
         """Takes a hold for a request; returns its id, empty without holds."""
         ttl_s = ctx.service.engine.hold_ttl_s
         if ttl_s <= 0:
@@ -39,7 +39,7 @@
         )
         if response.is_ok():
             return expression.Ok(self._codec.decode_hold_id(response.ok))
-        if not isinstance(response.error, errors.EndpointRefused):
+        if not isinstance(response.error, endpoint_errors.EndpointRefused):
             until = ctx.now() + call_stats.UNREACHABLE_BACKOFF_S
             self._stats.deprioritize(engine.key, until)
             self._log.error(
--- a/packages/seam_node/seam_node/forward/placement/quarantine_record.py
+++ b/packages/seam_node/seam_node/forward/placement/quarantine_record.py
@@ -12,7 +12,7 @@
 import attrs
 
 from seam_model import codec
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node import logs
 from seam_node.ports import objects
 from seam_policy import quarantine
@@ -93,7 +93,7 @@
         """Passes the stored entries on; None if the store did not answer."""
         got = await self._store.get(KEY)
         if got.is_error():
-            if not isinstance(got.error, errors.ObjectMissing):
+            if not isinstance(got.error, platform_errors.ObjectMissing):
                 return None
             self._on_read(())
             return objects.Stored(KEY, objects.ABSENT, b"")
--- a/packages/seam_node/seam_node/forward/placement/stages.py
+++ b/packages/seam_node/seam_node/forward/placement/stages.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.controllers import lease
 from seam_node.forward.endpoints import engine_access
@@ -282,7 +282,7 @@
                 change.stage, until
             )
             self._next_order_at = self._now()
-        elif isinstance(done.error, errors.EndpointRefused):
+        elif isinstance(done.error, endpoint_errors.EndpointRefused):
             self._stats.include(change.endpoint.key)
         self._log.event(
             "stage_ordered",
--- a/packages/seam_node/seam_node/forward/store/catalog_watch.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_watch.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.forward.store import feed_board
 from seam_node.forward.store import store_link
 from seam_node.ports import catalog
@@ -22,7 +22,7 @@
 missing objects are kept: live endpoints announce themselves again within about
 two seconds of the store's recovery."""
 
-Done = expression.Result[None, errors.PlatformError]
+Done = expression.Result[None, platform_errors.PlatformError]
 
 
 class ChangeListener(abc.ABC):
@@ -299,8 +299,10 @@
         self._names.discard(name)
         self._listener.remove(name)
 
-    def _note_error(self, error: errors.PlatformError) -> Done:
-        if isinstance(error, errors.HistoryGone | errors.StoreOutdated):
+    def _note_error(self, error: platform_errors.PlatformError) -> Done:
+        if isinstance(
+            error, platform_errors.HistoryGone | platform_errors.StoreOutdated
+        ):
             self._position = None
         else:
             self._link.record_failure(error)
--- a/packages/seam_node/seam_node/forward/store/store_link.py
+++ b/packages/seam_node/seam_node/forward/store/store_link.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node import logs
 from seam_node.ports import catalog
 from seam_policy import store_position
@@ -60,7 +60,7 @@
         """Whether the last call failed."""
         return not self._reachable.is_set()
 
-    def record_failure(self, error: errors.PlatformError) -> None:
+    def record_failure(self, error: platform_errors.PlatformError) -> None:
         """Records a failed call."""
         self._count_outcome(error.code)
         if not self.unreachable:
--- a/packages/seam_node/seam_node/ports/catalog.py
+++ b/packages/seam_node/seam_node/ports/catalog.py
@@ -6,8 +6,8 @@
 import attrs
 import expression
 
-from seam_model import errors
 from seam_model import forwarding
+from seam_model import platform_errors
 from seam_node.ports import objects
 from seam_policy import store_position
 
@@ -79,7 +79,7 @@
     @abc.abstractmethod
     async def list(
         self, kind: Kind, timeout_s: float, allow_stale: bool = False
-    ) -> expression.Result[Listing, errors.PlatformError]:
+    ) -> expression.Result[Listing, platform_errors.PlatformError]:
         """Returns all objects of a kind.
 
         With `allow_stale` the result may be seconds old, but the read is
@@ -89,7 +89,7 @@
     @abc.abstractmethod
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
-    ) -> expression.Result[Changes, errors.PlatformError]:
+    ) -> expression.Result[Changes, platform_errors.PlatformError]:
         """Waits for changes after a revision; returns none on timeout.
 
         Errors: `HistoryGone` if the store has compacted these changes.
@@ -98,11 +98,11 @@
     @abc.abstractmethod
     async def announce(
         self, entry: forwarding.InstanceEntry
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Creates or overwrites this instance's entry."""
 
     @abc.abstractmethod
     async def withdraw(
         self, name: str
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Deletes an instance's entry; idempotent."""
--- a/packages/seam_node/seam_node/ports/engine.py
+++ b/packages/seam_node/seam_node/ports/engine.py
@@ -4,8 +4,8 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 
 
 class DecodeStream(abc.ABC):
@@ -14,7 +14,9 @@
     @abc.abstractmethod
     async def read(
         self,
-    ) -> expression.Result[endpoints.TokenChunk | None, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.TokenChunk | None, endpoint_errors.EndpointError
+    ]:
         """Waits for the next events; returns None after the end of the stream.
 
         Errors: `EndpointLost` when the connection breaks or no event arrives
@@ -32,13 +34,15 @@
     @abc.abstractmethod
     async def prefill(
         self, order: endpoints.PrefillOrder, timeout_s: float
-    ) -> expression.Result[endpoints.PrefillDone, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.PrefillDone, endpoint_errors.EndpointError
+    ]:
         """Computes a prompt's KV cache."""
 
     @abc.abstractmethod
     async def decode(
         self, order: endpoints.DecodeOrder, timeout_s: float
-    ) -> expression.Result[DecodeStream, errors.EndpointError]:
+    ) -> expression.Result[DecodeStream, endpoint_errors.EndpointError]:
         """Imports a KV cache and starts a stream; returns after the import.
 
         Errors: `EndpointUnreachable`, `EndpointFull`, `KvExpired`,
@@ -48,7 +52,7 @@
     @abc.abstractmethod
     async def resume(
         self, order: endpoints.ResumeOrder, timeout_s: float
-    ) -> expression.Result[DecodeStream, errors.EndpointError]:
+    ) -> expression.Result[DecodeStream, endpoint_errors.EndpointError]:
         """Attaches to a stream after an event id; replaces any other reader.
 
         Errors: `StreamUnknown`, `EndpointUnreachable`, `EndpointLost`.
@@ -57,7 +61,7 @@
     @abc.abstractmethod
     async def cancel(
         self, request_id: str, incarnation: int
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Frees a request's resources; idempotent.
 
         Applies to executions of the request up to `incarnation`.
@@ -66,21 +70,21 @@
     @abc.abstractmethod
     async def load(
         self,
-    ) -> expression.Result[endpoints.LoadReport, errors.EndpointError]:
+    ) -> expression.Result[endpoints.LoadReport, endpoint_errors.EndpointError]:
         """Returns the engine's load report."""
 
     @abc.abstractmethod
     async def cache_events(
         self, after: int
     ) -> expression.Result[
-        tuple[endpoints.CacheEvent, ...], errors.EndpointError
+        tuple[endpoints.CacheEvent, ...], endpoint_errors.EndpointError
     ]:
         """Returns cache events after a sequence number; gaps are possible."""
 
     @abc.abstractmethod
     async def configure(
         self, order: endpoints.ModelOrder, timeout_s: float
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Sets role, models and adapters.
 
         Errors: `OrderFenced`.
--- a/packages/seam_node/seam_node/ports/objects.py
+++ b/packages/seam_node/seam_node/ports/objects.py
@@ -5,7 +5,7 @@
 import attrs
 import expression
 
-from seam_model import errors
+from seam_model import platform_errors
 
 ABSENT = 0
 """Expected version of a conditional write that creates an object."""
@@ -40,13 +40,13 @@
     @abc.abstractmethod
     async def get(
         self, key: str
-    ) -> expression.Result[Stored, errors.PlatformError]:
+    ) -> expression.Result[Stored, platform_errors.PlatformError]:
         """Returns an object, or `ObjectMissing`."""
 
     @abc.abstractmethod
     async def put(
         self, key: str, data: bytes, expected: int
-    ) -> expression.Result[int, errors.PlatformError]:
+    ) -> expression.Result[int, platform_errors.PlatformError]:
         """Writes if the current version is `expected`; returns the new one.
 
         Errors: `VersionConflict` with the current version.
--- a/packages/seam_node/seam_node/ports/platform.py
+++ b/packages/seam_node/seam_node/ports/platform.py
@@ -5,7 +5,7 @@
 import expression
 
 from seam_model import endpoints
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import objects
 
 ABSENT = objects.ABSENT
@@ -31,29 +31,29 @@
     @abc.abstractmethod
     async def delete(
         self, key: str, expected: int
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Deletes an object if its current version is `expected`."""
 
     @abc.abstractmethod
     async def list_keys(
         self, prefix: str
-    ) -> expression.Result[tuple[str, ...], errors.PlatformError]:
+    ) -> expression.Result[tuple[str, ...], platform_errors.PlatformError]:
         """Returns the keys that start with `prefix`, sorted."""
 
     @abc.abstractmethod
     async def watch(
         self, key: str, above: int, timeout_s: float
-    ) -> expression.Result[Stored | None, errors.PlatformError]:
+    ) -> expression.Result[Stored | None, platform_errors.PlatformError]:
         """Waits for a version above `above`; returns None on timeout."""
 
     @abc.abstractmethod
     async def fleet(
         self,
-    ) -> expression.Result[endpoints.FleetList, errors.PlatformError]:
+    ) -> expression.Result[endpoints.FleetList, platform_errors.PlatformError]:
         """Returns the list of instances and endpoints, which may lag."""
 
     @abc.abstractmethod
     async def announce(
         self, record: endpoints.InstanceRecord
-    ) -> expression.Result[None, errors.PlatformError]:
+    ) -> expression.Result[None, platform_errors.PlatformError]:
         """Lists this instance; must be repeated to keep it listed."""
--- a/packages/seam_node/seam_node/ports/service.py
+++ b/packages/seam_node/seam_node/ports/service.py
@@ -4,8 +4,8 @@
 
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import requests
 
 
@@ -15,7 +15,9 @@
     @abc.abstractmethod
     async def call(
         self, record: endpoints.EndpointRecord, order: endpoints.ServiceOrder
-    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+    ) -> expression.Result[
+        requests.ServiceReply, endpoint_errors.EndpointError
+    ]:
         """Sends one call and waits for its reply.
 
         Errors: `EndpointUnreachable` only if no byte was sent; `EndpointLost`
--- a/packages/seam_node/seam_node/web/admin_base.py
+++ b/packages/seam_node/seam_node/web/admin_base.py
@@ -12,6 +12,7 @@
 from seam_model import codec
 from seam_model import errors
 from seam_model import keys
+from seam_model import operator_errors
 from seam_model import settings
 from seam_model import toml_check
 from seam_node import node as node_module
@@ -65,10 +66,10 @@
         operators = self.node.settings.operators
         operator = find_operator(operators, token)
         if operator is None:
-            self._deny(errors.TokenUnknown(), "")
+            self._deny(operator_errors.TokenUnknown(), "")
             return False
         if not operator.role.covers(role):
-            self._deny(errors.Denied(role.value), operator.name)
+            self._deny(operator_errors.Denied(role.value), operator.name)
             return False
         self.operator_name = operator.name
         return True
@@ -100,7 +101,7 @@
         checker = toml_check.Checker()
         value = checker.build(cls, plain)
         if value is None:
-            self.refuse(errors.InputInvalid(tuple(checker.problems)))
+            self.refuse(operator_errors.InputInvalid(tuple(checker.problems)))
         return value
 
     def int_argument(self, name: str, low: int, high: int, default: int) -> int:
@@ -167,4 +168,4 @@
 
     def prepare(self) -> None:
         """Answers 404."""
-        self.refuse(errors.NotFound("path", self.request.path[:200]))
+        self.refuse(operator_errors.NotFound("path", self.request.path[:200]))
--- a/packages/seam_node/seam_node/web/admin_fleet.py
+++ b/packages/seam_node/seam_node/web/admin_fleet.py
@@ -3,6 +3,7 @@
 from seam_model import admin
 from seam_model import errors
 from seam_model import ids
+from seam_model import operator_errors
 from seam_model import settings
 from seam_node import node as node_module
 from seam_node import status
@@ -70,7 +71,7 @@
         if explanation.traces or explanation.silent:
             self.answer(explanation)
         else:
-            self.refuse(errors.NotFound("request", request))
+            self.refuse(operator_errors.NotFound("request", request))
 
 
 class MetricsHandler(admin_base.Handler):
--- a/packages/seam_node/seam_node/web/refusals.py
+++ b/packages/seam_node/seam_node/web/refusals.py
@@ -3,27 +3,29 @@
 import attrs
 
 from seam_model import codec
+from seam_model import endpoint_errors
 from seam_model import errors
+from seam_model import operator_errors
 from seam_model import requests
 
 _STATUS: dict[type[errors.SeamError], int] = {
     errors.BadInput: 400,
     errors.BodyUnreadable: 400,
-    errors.InputInvalid: 400,
+    operator_errors.InputInvalid: 400,
     errors.KeyOutsideWindow: 400,
     errors.WorkspaceUnknown: 401,
-    errors.TokenUnknown: 401,
-    errors.Denied: 403,
-    errors.NotFound: 404,
+    operator_errors.TokenUnknown: 401,
+    operator_errors.Denied: 403,
+    operator_errors.NotFound: 404,
     errors.ModelUnknown: 404,
     errors.ServiceUnknown: 404,
     errors.IdTaken: 409,
     errors.RunUnknown: 404,
-    errors.StreamUnknown: 410,
+    endpoint_errors.StreamUnknown: 410,
     errors.BodyTooSlow: 408,
     errors.AlreadyEnded: 409,
     errors.AlreadyRunning: 409,
-    errors.ConfigConflict: 409,
+    operator_errors.ConfigConflict: 409,
     errors.BodyTooLarge: 413,
     errors.ConfigInvalid: 422,
     errors.LimitExceeded: 429,
@@ -32,7 +34,7 @@
     errors.KeyReused: 409,
     errors.OutcomeUnknown: 502,
     errors.OutcomeNotKept: 502,
-    errors.EndpointLost: 502,
+    endpoint_errors.EndpointLost: 502,
 }
 DEFAULT_STATUS = 503
 
--- a/tests/proofs/test_config.py
+++ b/tests/proofs/test_config.py
@@ -11,6 +11,8 @@
 from seam_model import config
 from seam_model import config_check
 from seam_model import errors
+from seam_model import operator_errors
+from seam_model import platform_errors
 from seam_node.controllers import config as config_controller
 from standins import history
 
@@ -224,7 +226,7 @@
     found, results = session(seed, scenario)
     assert found == []
     lost = [result.error for result in results if result.is_error()]
-    assert [type(error) for error in lost] == [errors.ConfigConflict]
+    assert [type(error) for error in lost] == [operator_errors.ConfigConflict]
     assert (lost[0].version, lost[0].who) in ((2, "e1"), (2, "e4"))
     assert "entry.width" in lost[0].what
 
@@ -252,7 +254,7 @@
         await asyncio.sleep(2)
         await flt.kill("e3")
         real = flt.store.get
-        out = expression.Error(errors.PlatformUnavailable("get"))
+        out = expression.Error(platform_errors.PlatformUnavailable("get"))
         started = await flt.start_instance("e3")
         # Only reads of objects fail; the fleet list is still available.
         flt.store.get = lambda key: out
--- a/tests/proofs/test_runs_engines.py
+++ b/tests/proofs/test_runs_engines.py
@@ -8,8 +8,8 @@
 
 from proofs import callers
 from proofs import fleet
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import peers
 
 
@@ -43,7 +43,7 @@
 
 async def fail_expired(name):
     """Answers an export with `KvExpired`."""
-    return expression.Error(errors.KvExpired(name))
+    return expression.Error(endpoint_errors.KvExpired(name))
 
 
 @pytest.mark.parametrize("seed", fleet.seeds(2))
--- a/tests/seam_ctl/test_main.py
+++ b/tests/seam_ctl/test_main.py
@@ -8,8 +8,8 @@
 
 from seam_ctl import exits
 from seam_ctl import main
-from seam_model import errors
 from seam_model import keys
+from seam_model import platform_errors
 from seam_model import settings
 from tests.seam_node.web import admin_world
 
@@ -166,7 +166,7 @@
 
     async def apply_and_lose_answer(*args):
         assert (await real(*args)).is_ok()
-        return expression.Error(errors.PlatformAmbiguous("apply"))
+        return expression.Error(platform_errors.PlatformAmbiguous("apply"))
 
     add = ("exception", "add", "late", "--workspace", "w")
     add += ("--set", "workspace.burst=3", "--reason", "a lost answer")
--- a/tests/seam_node/adapters/test_platform_http.py
+++ b/tests/seam_node/adapters/test_platform_http.py
@@ -8,7 +8,7 @@
 import tornado.netutil
 
 from seam_model import endpoints
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.adapters import platform_http
 from standins import platform_core
 from standins import platform_server
@@ -44,14 +44,14 @@
 def test_conditional_writes_reads_and_deletes():
     async def scenario(client, core, faults, server):
         missing = (await client.get(KEY)).error
-        assert missing == errors.ObjectMissing(KEY)
+        assert missing == platform_errors.ObjectMissing(KEY)
         assert (await client.put(KEY, b"\x00one", 0)).ok == 1
         conflict = (await client.put(KEY, b"two", 0)).error
-        assert conflict == errors.VersionConflict(KEY, 0, 1)
+        assert conflict == platform_errors.VersionConflict(KEY, 0, 1)
         assert (await client.get(KEY)).ok.data == b"\x00one"
         assert (await client.list_keys("orders/")).ok == (KEY,)
         conflict = (await client.delete(KEY, 9)).error
-        assert conflict == errors.VersionConflict(KEY, 9, 1)
+        assert conflict == platform_errors.VersionConflict(KEY, 9, 1)
         assert (await client.delete(KEY, 1)).is_ok()
         assert (await client.put(KEY, b"again", 0)).ok == 2
 
@@ -86,7 +86,7 @@
     async def scenario(client, core, faults, server):
         faults.lose_answers = 1
         error = (await client.put(KEY, b"one", 0)).error
-        assert error == errors.PlatformAmbiguous("put")
+        assert error == platform_errors.PlatformAmbiguous("put")
         assert core.get(KEY).ok.data == b"one"
 
     run(scenario)
@@ -97,9 +97,9 @@
         faults.slow_s = 60.0
         client._timeout_s = 0.05
         error = (await client.put(KEY, b"one", 0)).error
-        assert error == errors.PlatformAmbiguous("put")
+        assert error == platform_errors.PlatformAmbiguous("put")
         error = (await client.get(KEY)).error
-        assert error == errors.PlatformUnavailable("get")
+        assert error == platform_errors.PlatformUnavailable("get")
 
     run(scenario)
 
@@ -114,7 +114,7 @@
             "delete": lambda: client.delete(KEY, 0),
         }
         error = (await call[operation]()).error
-        assert error == errors.PlatformUnavailable(operation)
+        assert error == platform_errors.PlatformUnavailable(operation)
 
     run(scenario)
 
--- a/tests/seam_node/controllers/claim_fakes.py
+++ b/tests/seam_node/controllers/claim_fakes.py
@@ -6,6 +6,7 @@
 import expression
 
 from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import clock
 from seam_node.ports import peer
 from seam_node.ports import platform
@@ -72,7 +73,7 @@
         self.calls.append(operation)
         await asyncio.sleep(self.latency_s)
         if self.down:
-            return errors.PlatformUnavailable(operation)
+            return platform_errors.PlatformUnavailable(operation)
         return None
 
     async def get(self, key):
@@ -80,7 +81,7 @@
         if failure:
             return expression.Error(failure)
         if key not in self.objects:
-            return expression.Error(errors.ObjectMissing(key))
+            return expression.Error(platform_errors.ObjectMissing(key))
         version, data = self.objects[key]
         return expression.Ok(platform.Stored(key, version, data))
 
@@ -90,18 +91,18 @@
         if failure:
             return expression.Error(failure)
         if fault == "lost_before":
-            return expression.Error(errors.PlatformAmbiguous("put"))
+            return expression.Error(platform_errors.PlatformAmbiguous("put"))
         current = self.objects.get(key, (0, b""))[0]
         if current != expected:
             return expression.Error(
-                errors.VersionConflict(key, expected, current)
+                platform_errors.VersionConflict(key, expected, current)
             )
         self.objects[key] = (current + 1, data)
         if fault == "lost_after":
-            return expression.Error(errors.PlatformAmbiguous("put"))
+            return expression.Error(platform_errors.PlatformAmbiguous("put"))
         if fault == "lost_after_then_down":
             self.down = True
-            return expression.Error(errors.PlatformAmbiguous("put"))
+            return expression.Error(platform_errors.PlatformAmbiguous("put"))
         return expression.Ok(current + 1)
 
     async def delete(self, key, expected):
@@ -111,7 +112,7 @@
         current = self.objects.get(key, (0, b""))[0]
         if current != expected:
             return expression.Error(
-                errors.VersionConflict(key, expected, current)
+                platform_errors.VersionConflict(key, expected, current)
             )
         del self.objects[key]
         return expression.Ok(None)
--- a/tests/seam_node/controllers/peer_world.py
+++ b/tests/seam_node/controllers/peer_world.py
@@ -9,6 +9,7 @@
 
 from seam_model import endpoints
 from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import clock as clock_port
 from seam_node.ports import peer as peer_port
 from seam_node.ports import platform as platform_port
@@ -137,13 +138,17 @@
 
     async def fleet(self):
         if self.world.platform_down:
-            return expression.Error(errors.PlatformUnavailable("fleet"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("fleet")
+            )
         records = tuple(self.world.records.values())
         return expression.Ok(endpoints.FleetList(records, self.world.engines))
 
     async def announce(self, record):
         if self.world.platform_down:
-            return expression.Error(errors.PlatformUnavailable("announce"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("announce")
+            )
         self.world.records[record.name] = record
         return expression.Ok(None)
 
--- a/tests/seam_node/controllers/test_claims.py
+++ b/tests/seam_node/controllers/test_claims.py
@@ -6,6 +6,7 @@
 from seam_model import claims as claim_model
 from seam_model import errors
 from seam_model import ids
+from seam_model import platform_errors
 from seam_model import requests
 from seam_node.controllers import claim_store
 from seam_node.controllers import claims
@@ -141,7 +142,7 @@
         key = fleet.key()
         fleet.platform.faults = ["lost_after_then_down"]
         refused = await b.claim(key, b"d")
-        assert refused.error == errors.PlatformUnavailable("claim")
+        assert refused.error == platform_errors.PlatformUnavailable("claim")
         await asyncio.sleep(60)
         fleet.platform.down = False
         await b.flush()
@@ -159,7 +160,7 @@
         fleet.platform.down = True
         b.record(claim, REPLY)
         refused = await b.claim(key, b"d")
-        assert refused.error == errors.PlatformUnavailable("claim")
+        assert refused.error == platform_errors.PlatformUnavailable("claim")
         await asyncio.sleep(120)
         fleet.platform.down = False
         assert (await b.claim(key, b"d")).is_ok()
--- a/tests/seam_node/controllers/test_config.py
+++ b/tests/seam_node/controllers/test_config.py
@@ -9,7 +9,9 @@
 from seam_model import config
 from seam_model import config_check
 from seam_model import errors
+from seam_model import operator_errors
 from seam_model import peers
+from seam_model import platform_errors
 from seam_node.controllers import config as config_controller
 from seam_node.ports import clock as clock_port
 from standins import platform_core
@@ -35,7 +37,7 @@
 
     async def get(self, key):
         if self.fault == "down":
-            return expression.Error(errors.PlatformUnavailable("get"))
+            return expression.Error(platform_errors.PlatformUnavailable("get"))
         if self.fault == "stale" and self.old is not None:
             return expression.Ok(self.old)
         return self.core.get(key)
@@ -43,17 +45,19 @@
     async def put(self, key, data, expected):
         fault = self.fault
         if fault == "down":
-            return expression.Error(errors.PlatformUnavailable("put"))
+            return expression.Error(platform_errors.PlatformUnavailable("put"))
         if fault in ("lost_after", "lost_before"):
             self.fault = ""
             if fault == "lost_after":
                 self.core.put(key, data, expected)
-            return expression.Error(errors.PlatformAmbiguous("put"))
+            return expression.Error(platform_errors.PlatformAmbiguous("put"))
         return self.core.put(key, data, expected)
 
     async def watch(self, key, above, timeout_s):
         if self.fault == "down":
-            return expression.Error(errors.PlatformUnavailable("watch"))
+            return expression.Error(
+                platform_errors.PlatformUnavailable("watch")
+            )
         return expression.Ok(await self.core.watch(key, above, timeout_s))
 
 
@@ -125,7 +129,7 @@
             b.apply(draft(4), "bob", "why", 0, "2"),
         )
         lost = [r.error for r in results if r.is_error()]
-        assert [type(e) for e in lost] == [errors.ConfigConflict]
+        assert [type(e) for e in lost] == [operator_errors.ConfigConflict]
         assert lost[0].who in ("ann", "bob") and "entry.width" in lost[0].what
         await run_pending_tasks()
         assert a.current() == b.current()
@@ -158,7 +162,7 @@
         await a.apply(draft(4), "ann", "why", 1, "2")
         rig.platform.fault = "stale"
         result = await a.apply(draft(5), "ann", "why", 1, "3")
-        assert isinstance(result.error, errors.PlatformError)
+        assert isinstance(result.error, platform_errors.PlatformError)
         assert a.current().defaults.entry.width == 4
         late = await rig.node("late")
         late.note_peer_version("a", 2)
@@ -180,7 +184,7 @@
         assert alone.current() is None
         assert b.current().defaults.entry.width == 3
         result = await b.apply(draft(4), "bob", "why", 1, "2")
-        assert isinstance(result.error, errors.PlatformUnavailable)
+        assert isinstance(result.error, platform_errors.PlatformUnavailable)
 
     run(scenario, monkeypatch)
 
--- a/tests/seam_node/controllers/test_reaper.py
+++ b/tests/seam_node/controllers/test_reaper.py
@@ -6,8 +6,8 @@
 import expression
 import pytest
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_model import ids
 from seam_node.controllers import reaper
 from tests.seam_node.controllers import peer_world
@@ -26,7 +26,9 @@
 
     async def cancel(self, request_id, incarnation):
         if not self.works:
-            return expression.Error(errors.EndpointUnreachable("engine"))
+            return expression.Error(
+                endpoint_errors.EndpointUnreachable("engine")
+            )
         self.cancelled.append((request_id, incarnation))
         return expression.Ok(None)
 
--- a/tests/seam_node/controllers/test_roles.py
+++ b/tests/seam_node/controllers/test_roles.py
@@ -5,8 +5,8 @@
 import attrs
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node.controllers import lease
 from seam_node.controllers import roles
 from tests.seam_node.controllers import claim_fakes
@@ -49,7 +49,7 @@
         record = engines.records[self.name]
         if record.checks_fence and order.fence < engines.highest:
             return expression.Error(
-                errors.OrderFenced(self.name, engines.highest)
+                endpoint_errors.OrderFenced(self.name, engines.highest)
             )
         engines.highest = order.fence
         engines.records[self.name] = attrs.evolve(
--- a/tests/seam_node/forward/callers/test_refusals.py
+++ b/tests/seam_node/forward/callers/test_refusals.py
@@ -2,13 +2,14 @@
 
 import pytest
 
+from seam_model import endpoint_errors
 from seam_model import errors
 from seam_node.forward.callers import refusals
 
 FAILURES = [
     errors.DeadlinePassed("endpoint"),
-    errors.EndpointLost("e"),
-    errors.EndpointRefused("e", 503),
+    endpoint_errors.EndpointLost("e"),
+    endpoint_errors.EndpointRefused("e", 503),
     errors.NoEndpoint("s"),
     errors.RetryBudgetSpent(),
     errors.Internal("ValueError"),
--- a/tests/seam_node/forward/store/test_catalog_watch.py
+++ b/tests/seam_node/forward/store/test_catalog_watch.py
@@ -4,8 +4,8 @@
 
 import expression
 
-from seam_model import errors
 from seam_model import forwarding
+from seam_model import platform_errors
 from seam_node import logs
 from seam_node.forward.store import catalog_watch
 from seam_node.forward.store import store_link
@@ -56,7 +56,7 @@
         self.calls += 1
         await self._wait_if_away(timeout_s)
         if self.unreachable:
-            return expression.Error(errors.PlatformUnavailable("list"))
+            return expression.Error(platform_errors.PlatformUnavailable("list"))
         entries = tuple(entry(name) for name in sorted(self.names))
         return expression.Ok(catalog.Listing(entries, self._position()))
 
@@ -68,10 +68,10 @@
                 break
             await asyncio.sleep(0.01)
         if self.unreachable:
-            return expression.Error(errors.PlatformAmbiguous("watch"))
+            return expression.Error(platform_errors.PlatformAmbiguous("watch"))
         if self.history_gone:
             self.history_gone = False
-            return expression.Error(errors.HistoryGone(revision))
+            return expression.Error(platform_errors.HistoryGone(revision))
         matching = tuple(c for at, c in self.changes if at > revision)
         return expression.Ok(catalog.Changes(matching, self._position()))
 
--- a/tests/seam_node/forward/store/test_feed.py
+++ b/tests/seam_node/forward/store/test_feed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.forward.store import feed_codec
 from seam_node.ports import catalog
 from seam_platform import objects
@@ -135,7 +135,9 @@
 def test_endpoints_that_lapsed_in_an_outage_of_all_are_kept_for_a_while():
     async def scenario(world):
         follower = world.followers[0]
-        follower.link.record_failure(errors.PlatformUnavailable("list"))
+        follower.link.record_failure(
+            platform_errors.PlatformUnavailable("list")
+        )
         follower.watches[feed_world.ENDPOINTS].replace((), 1)
         assert follower.names == {"e-1"}
         assert not follower.link.unreachable
--- a/tests/seam_node/web/test_admin.py
+++ b/tests/seam_node/web/test_admin.py
@@ -13,6 +13,8 @@
 from seam_model import codec
 from seam_model import errors
 from seam_model import ids
+from seam_model import operator_errors
+from seam_model import platform_errors
 from seam_node.controllers import drain
 from seam_node.controllers import runs
 from tests.seam_node.web import admin_world
@@ -78,7 +80,7 @@
     won = [result.ok for result in results if result.is_ok()]
     lost = [result.error for result in results if result.is_error()]
     assert len(won) == len(lost) == 1
-    assert lost[0] == errors.ConfigConflict(
+    assert lost[0] == operator_errors.ConfigConflict(
         1, won[0].who, won[0].when, won[0].what[0]
     )
     width = {"ana": 3, "ben": 4}[won[0].who]
@@ -104,10 +106,10 @@
         ]
 
     assert asyncio.run(denied()) == [
-        errors.Denied("admin"),
-        errors.Denied("operator"),
-        errors.Denied("admin"),
-        errors.TokenUnknown(),
+        operator_errors.Denied("admin"),
+        operator_errors.Denied("operator"),
+        operator_errors.Denied("admin"),
+        operator_errors.TokenUnknown(),
     ]
     assert send(world, "GET", "/v1/config")[0] == 401
     text = world.metrics("e1")
@@ -225,7 +227,7 @@
     wrong, first, again, none = asyncio.run(leave())
     assert isinstance(wrong, errors.BadInput)
     assert first == again == admin.DrainAnswer("e2", "announced", 0)
-    assert none == errors.NotFound("instance", "e9")
+    assert none == operator_errors.NotFound("instance", "e9")
     assert world.nodes["e1"].drain.phase is drain.Phase.SERVING
     lines = world.log.getvalue().splitlines()
     acts = [line for line in lines if "event=operator_action" in line]
@@ -237,10 +239,10 @@
     problem = errors.BadInput("field", "value", "allowed")
     for error in (
         errors.ConfigInvalid((problem, problem)),
-        errors.ConfigConflict(3, "ana", "today", "a -> b"),
-        errors.PlatformAmbiguous("apply"),
-        errors.VersionConflict("key", 1, 2),
-        errors.TokenUnknown(),
+        operator_errors.ConfigConflict(3, "ana", "today", "a -> b"),
+        platform_errors.PlatformAmbiguous("apply"),
+        platform_errors.VersionConflict("key", 1, 2),
+        operator_errors.TokenUnknown(),
     ):
         data = codec.to_json(admin.error_to_body(error))
         body = codec.from_json(data, admin.ErrorBody).ok
--- a/tests/seam_platform/test_store.py
+++ b/tests/seam_platform/test_store.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from seam_model import errors
 from seam_model import forwarding
+from seam_model import platform_errors
 from seam_node.ports import catalog
 from seam_node.ports import objects
 from seam_platform import store
@@ -72,9 +72,9 @@
         await client.list(catalog.Kind.ROUTES, TIMEOUT_S)
         core.era = 1
         listed = await client.list(catalog.Kind.ROUTES, TIMEOUT_S)
-        assert isinstance(listed.error, errors.StoreOutdated)
+        assert isinstance(listed.error, platform_errors.StoreOutdated)
         put = await client.put("k", b"1", objects.ABSENT)
-        assert isinstance(put.error, errors.StoreOutdated)
+        assert isinstance(put.error, platform_errors.StoreOutdated)
 
     run(scenario)
 
@@ -101,7 +101,7 @@
         core.put("servers", "c", {})
         core.calls = RestoringCalls(core, kept)
         listed = await client.list(catalog.Kind.ENDPOINTS, TIMEOUT_S)
-        assert isinstance(listed.error, errors.StoreOutdated)
+        assert isinstance(listed.error, platform_errors.StoreOutdated)
         listed = await client.list(catalog.Kind.ENDPOINTS, TIMEOUT_S)
         assert [each.name for each in listed.ok.entries] == ["a", "b"]
 
@@ -131,7 +131,7 @@
         core.put("servers", "i-1", {})
         core.compact()
         seen = await client.watch(catalog.Kind.ENDPOINTS, 1, 1.0)
-        assert isinstance(seen.error, errors.HistoryGone)
+        assert isinstance(seen.error, platform_errors.HistoryGone)
 
     run(scenario)
 
@@ -161,13 +161,13 @@
 def test_conditional_writes():
     async def scenario(client, core):
         missing = await client.get("leases/x")
-        assert isinstance(missing.error, errors.ObjectMissing)
+        assert isinstance(missing.error, platform_errors.ObjectMissing)
         first = (await client.put("leases/x", b"one", 0)).ok
         again = await client.put("leases/x", b"two", 0)
-        assert isinstance(again.error, errors.VersionConflict)
+        assert isinstance(again.error, platform_errors.VersionConflict)
         second = (await client.put("leases/x", b"two", first)).ok
         late = await client.put("leases/x", b"three", first)
-        assert isinstance(late.error, errors.VersionConflict)
+        assert isinstance(late.error, platform_errors.VersionConflict)
         found = (await client.get("leases/x")).ok
         assert (found.version, found.data) == (second, b"two")
 
@@ -179,7 +179,7 @@
         for status in (503, 429):
             core.status = status
             done = await client.put("leases/x", b"one", 0)
-            assert isinstance(done.error, errors.PlatformUnavailable)
+            assert isinstance(done.error, platform_errors.PlatformUnavailable)
 
     run(scenario)
 
@@ -188,7 +188,7 @@
     async def scenario(client, core):
         core.silent = True
         listed = await client.list(catalog.Kind.ROUTES, 0.1)
-        assert isinstance(listed.error, errors.PlatformAmbiguous)
+        assert isinstance(listed.error, platform_errors.PlatformAmbiguous)
         core.silent = False
 
     run(scenario)
--- a/tests/standins/engine_core.py
+++ b/tests/standins/engine_core.py
@@ -16,8 +16,8 @@
 import attrs
 import expression
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from seam_node.ports import engine
 from standins import costs
 from standins import engine_core_cache
@@ -97,14 +97,18 @@
 
     async def read(
         self,
-    ) -> expression.Result[endpoints.TokenChunk | None, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.TokenChunk | None, endpoint_errors.EndpointError
+    ]:
         """Waits for the next events; `EndpointLost` after a replacement."""
         stream = self._stream
         while True:
             await self._core.answering.wait()
             lost = stream.freed or stream.reader is not self
             if lost or self._core.faults.down:
-                return expression.Error(errors.EndpointLost(self._core.name))
+                return expression.Error(
+                    endpoint_errors.EndpointLost(self._core.name)
+                )
             if len(stream.events) > self._seq:
                 return expression.Ok(self._take_chunk())
             if stream.done:
@@ -184,7 +188,9 @@
 
     async def prefill(
         self, order: endpoints.PrefillOrder
-    ) -> expression.Result[endpoints.PrefillDone, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.PrefillDone, endpoint_errors.EndpointError
+    ]:
         """Queues a prefill by rank and waits until it has finished."""
         refusal = await self._admit("prefill", order)
         if refusal is not None:
@@ -200,20 +206,20 @@
 
     async def export(
         self, handle: str
-    ) -> expression.Result[int, errors.EndpointError]:
+    ) -> expression.Result[int, endpoint_errors.EndpointError]:
         """Sends KV over the shared link; returns its size in bytes."""
         kv = self._kv.get(handle)
         if kv is None or self.faults.down:
-            return expression.Error(errors.KvExpired(self.name))
+            return expression.Error(endpoint_errors.KvExpired(self.name))
         size = kv.order.prompt_tokens * costs.KV_BYTES_PER_TOKEN
         start = max(_now(), self._link_free_at_s)
         end = start + size / self.cost.link_bytes_per_s
         if end > kv.expires_s:
-            return expression.Error(errors.KvExpired(self.name))
+            return expression.Error(endpoint_errors.KvExpired(self.name))
         self._link_free_at_s = end
         await asyncio.sleep(end - _now())
         if handle not in self._kv:
-            return expression.Error(errors.KvExpired(self.name))
+            return expression.Error(endpoint_errors.KvExpired(self.name))
         self._drop_kv(handle, wasted=False)
         return expression.Ok(size)
 
@@ -227,12 +233,16 @@
 
     async def _prefill(
         self, handle: str, order: endpoints.PrefillOrder
-    ) -> expression.Result[endpoints.PrefillDone, errors.EndpointError]:
+    ) -> expression.Result[
+        endpoints.PrefillDone, endpoint_errors.EndpointError
+    ]:
         if self._was_cancelled(order):
-            return expression.Error(errors.OrderRejected(self.name, 409))
+            return expression.Error(
+                endpoint_errors.OrderRejected(self.name, 409)
+            )
         blocks = blocks_of(order.prompt_tokens)
         if blocks > self._blocks_free:
-            return expression.Error(errors.EndpointFull(self.name))
+            return expression.Error(endpoint_errors.EndpointFull(self.name))
         self._blocks_free -= blocks
         cached = self._cache.cached_tokens(
             order.prompt, order.model, order.prompt_tokens
@@ -260,7 +270,7 @@
 
     async def decode(
         self, order: endpoints.DecodeOrder
-    ) -> expression.Result[Reader, errors.EndpointError]:
+    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
         """Imports the KV cache and starts a stream."""
         refusal = await self._admit("decode", order)
         if refusal is not None:
@@ -268,7 +278,7 @@
         blocks = blocks_of(order.prompt_tokens + order.max_tokens)
         full = self._slots_used >= self.cost.slots
         if full or blocks > self._blocks_free:
-            return expression.Error(errors.EndpointFull(self.name))
+            return expression.Error(endpoint_errors.EndpointFull(self.name))
         self._slots_used += 1
         self._blocks_free -= blocks
         failure = await self._import_kv(order)
@@ -286,7 +296,7 @@
 
     async def resume(
         self, order: endpoints.ResumeOrder
-    ) -> expression.Result[Reader, errors.EndpointError]:
+    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
         """Attaches after an event id unless a later generation is attached."""
         generation = order.incarnation
         refusal = await self._receive_order(
@@ -300,14 +310,14 @@
             or generation < stream.generation
             or order.after_seq > len(stream.events)
         ):
-            return expression.Error(errors.StreamUnknown(self.name))
+            return expression.Error(endpoint_errors.StreamUnknown(self.name))
         stream.generation = generation
         stream.owner = order.owner
         return await self._attach(stream, order.after_seq)
 
     async def cancel(
         self, request_id: str, generation: int
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Frees the KV and the stream of runs up to `generation`."""
         refusal = await self._receive_order("cancel", request_id, generation)
         if refusal is not None:
@@ -341,7 +351,7 @@
 
     async def _attach(
         self, stream: _Stream, after_seq: int
-    ) -> expression.Result[Reader, errors.EndpointError]:
+    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
         reader = Reader(self, stream, after_seq)
         self._snapshot()
         result = await self._send_answer(expression.Ok(reader))
@@ -351,15 +361,15 @@
 
     async def _import_kv(
         self, order: endpoints.DecodeOrder
-    ) -> errors.EndpointError | None:
+    ) -> endpoint_errors.EndpointError | None:
         if self.faults.fail_transfers > 0:
             self.faults.fail_transfers -= 1
-            return errors.TransferFailed(self.name)
+            return endpoint_errors.TransferFailed(self.name)
         moved = await self._importer(order.source_url, order.kv_handle)
         if moved.is_error():
             return moved.error
         if self._is_stale(order):
-            return errors.OrderRejected(self.name, 409)
+            return endpoint_errors.OrderRejected(self.name, 409)
         if order.request_id in self._streams:
             self._free(self._streams[order.request_id])
         return None
@@ -411,7 +421,7 @@
 
     async def load(
         self,
-    ) -> expression.Result[endpoints.LoadReport, errors.EndpointError]:
+    ) -> expression.Result[endpoints.LoadReport, endpoint_errors.EndpointError]:
         """Returns the load as it was `load_lag_s` ago."""
         refusal = await self._receive_order()
         if refusal is not None:
@@ -422,7 +432,7 @@
     async def cache_events(
         self, after: int
     ) -> expression.Result[
-        tuple[endpoints.CacheEvent, ...], errors.EndpointError
+        tuple[endpoints.CacheEvent, ...], endpoint_errors.EndpointError
     ]:
         """Returns delayed cache events; lost events leave sequence gaps."""
         refusal = await self._receive_order()
@@ -432,7 +442,7 @@
 
     async def configure(
         self, order: endpoints.ModelOrder
-    ) -> expression.Result[None, errors.EndpointError]:
+    ) -> expression.Result[None, endpoint_errors.EndpointError]:
         """Sets role, models and adapters."""
         refusal = await self._receive_order(
             "configure", order.order_id, order.fence
@@ -440,7 +450,9 @@
         if refusal is not None:
             return expression.Error(refusal)
         if self._checks_fence and order.fence < self.fence:
-            return expression.Error(errors.OrderFenced(self.name, self.fence))
+            return expression.Error(
+                endpoint_errors.OrderFenced(self.name, self.fence)
+            )
         self.fence = max(self.fence, order.fence)
         self.role, self.models = order.role, order.models
         self.adapters = order.adapters
@@ -481,11 +493,11 @@
 
     async def _receive_order(
         self, kind: str = "", request_id: str = "", generation: int = 0
-    ) -> errors.EndpointError | None:
+    ) -> endpoint_errors.EndpointError | None:
         await asyncio.sleep(self.faults.latency_s)
         await self.answering.wait()
         if self.faults.down:
-            return errors.EndpointUnreachable(self.name)
+            return endpoint_errors.EndpointUnreachable(self.name)
         if kind:
             self.seen.append(
                 ReceivedOrder(kind, request_id, generation, _now())
@@ -494,7 +506,7 @@
 
     async def _admit(
         self, kind: str, order: endpoints.PrefillOrder | endpoints.DecodeOrder
-    ) -> errors.EndpointError | None:
+    ) -> endpoint_errors.EndpointError | None:
         refusal = await self._receive_order(
             kind, order.request_id, order.incarnation
         )
@@ -502,9 +514,9 @@
             return refusal
         foreign = self.models and order.model not in self.models
         if kind != self.role.value or foreign:
-            return errors.OrderRejected(self.name, 404)
+            return endpoint_errors.OrderRejected(self.name, 404)
         if self._is_stale(order):
-            return errors.OrderRejected(self.name, 409)
+            return endpoint_errors.OrderRejected(self.name, 409)
         return None
 
     async def _send_answer(
@@ -514,7 +526,7 @@
         lost = self.faults.lose_answers > 0
         self.faults.lose_answers -= lost
         if lost or self.faults.down:
-            return expression.Error(errors.EndpointLost(self.name))
+            return expression.Error(endpoint_errors.EndpointLost(self.name))
         return result
 
     def _is_stale(
--- a/tests/standins/engine_server.py
+++ b/tests/standins/engine_server.py
@@ -19,17 +19,17 @@
 import tornado.web
 
 from seam_model import codec
+from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_model import errors
 from standins import costs
 from standins import engine_core
 
 STATUS_BY_ERROR = {
-    errors.KvExpired: 409,
-    errors.OrderFenced: 409,
-    errors.TransferFailed: 502,
-    errors.EndpointFull: 429,
-    errors.StreamUnknown: 404,
+    endpoint_errors.KvExpired: 409,
+    endpoint_errors.OrderFenced: 409,
+    endpoint_errors.TransferFailed: 502,
+    endpoint_errors.EndpointFull: 429,
+    endpoint_errors.StreamUnknown: 404,
 }
 ORDER_TYPES = {
     "prefill": endpoints.PrefillOrder,
@@ -52,12 +52,12 @@
             raise_error=False,
         )
     except (OSError, tornado.httpclient.HTTPError):
-        return expression.Error(errors.TransferFailed(source_url))
+        return expression.Error(endpoint_errors.TransferFailed(source_url))
     if answer.code == 200:
         return expression.Ok(json.loads(answer.body)["bytes"])
     if answer.code == 404:
-        return expression.Error(errors.KvExpired(source_url))
-    return expression.Error(errors.TransferFailed(source_url))
+        return expression.Error(endpoint_errors.KvExpired(source_url))
+    return expression.Error(endpoint_errors.TransferFailed(source_url))
 
 
 class Server:
@@ -108,8 +108,11 @@
         self.request.connection.stream.close()
         raise tornado.web.Finish
 
-    def finish_error(self, error: errors.EndpointError) -> None:
-        if isinstance(error, errors.EndpointLost | errors.EndpointUnreachable):
+    def finish_error(self, error: endpoint_errors.EndpointError) -> None:
+        if isinstance(
+            error,
+            endpoint_errors.EndpointLost | endpoint_errors.EndpointUnreachable,
+        ):
             self.drop()
         status = STATUS_BY_ERROR.get(type(error)) or getattr(
             error, "status", 500
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -15,8 +15,10 @@
 import msgpack
 
 from seam_model import codec
+from seam_model import endpoint_errors
 from seam_model import endpoints
 from seam_model import errors
+from seam_model import platform_errors
 from seam_model import requests
 from seam_node.ports import engine
 from seam_node.ports import peer
@@ -111,7 +113,7 @@
     """Sends an order, which continues after its caller stops waiting."""
     if not await links.deliver(source, target):
         await asyncio.sleep(timeout_s)
-        return expression.Error(errors.EndpointUnreachable(target))
+        return expression.Error(endpoint_errors.EndpointUnreachable(target))
     task = _spawn_unowned(call())
     answered = False
     try:
@@ -122,7 +124,7 @@
             task.add_done_callback(_detach_unread)
     if answered:
         return task.result()
-    return expression.Error(errors.EndpointLost(target))
+    return expression.Error(endpoint_errors.EndpointLost(target))
 
 
 def _spawn_unowned(coro: Any) -> asyncio.Task:
@@ -166,13 +168,13 @@
                 self._arrived.get(), STREAM_IDLE_TIMEOUT_S
             )
         except TimeoutError:
-            return expression.Error(errors.EndpointLost(self._target))
+            return expression.Error(endpoint_errors.EndpointLost(self._target))
 
     async def close(self) -> None:
         self._pump.cancel()
         self._reader.detach()
         if self._arrived.empty():
-            lost = expression.Error(errors.EndpointLost(self._target))
+            lost = expression.Error(endpoint_errors.EndpointLost(self._target))
             self._arrived.put_nowait(lost)
 
 
@@ -242,10 +244,10 @@
     async def import_kv(url: str, handle: str) -> expression.Result:
         source = url.rpartition("/")[2]
         if not await links.deliver(name, source):
-            return expression.Error(errors.TransferFailed(name))
+            return expression.Error(endpoint_errors.TransferFailed(name))
         moved = await cores[source].export(handle)
         if not await links.deliver(source, name):
-            return expression.Error(errors.TransferFailed(name))
+            return expression.Error(endpoint_errors.TransferFailed(name))
         return moved
 
     return import_kv
@@ -264,7 +266,9 @@
 
     async def call(
         self, record: endpoints.EndpointRecord, order: endpoints.ServiceOrder
-    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+    ) -> expression.Result[
+        requests.ServiceReply, endpoint_errors.EndpointError
+    ]:
         core = self._cores[record.name]
 
         def run():
@@ -392,7 +396,9 @@
         """Does nothing: the store needs no connection."""
 
     async def _call(self, operation: str, call: Callable, write: bool = False):
-        unavailable = expression.Error(errors.PlatformUnavailable(operation))
+        unavailable = expression.Error(
+            platform_errors.PlatformUnavailable(operation)
+        )
         request_arrived = await self._links.deliver(self._name, PLATFORM_NAME)
         await asyncio.sleep(self._store.latency_s)
         if self._store.down:
@@ -410,7 +416,9 @@
             return result
         await asyncio.sleep(CALL_TIMEOUT_S)
         if write:
-            return expression.Error(errors.PlatformAmbiguous(operation))
+            return expression.Error(
+                platform_errors.PlatformAmbiguous(operation)
+            )
         return unavailable
 
     async def get(self, key):
--- a/tests/standins/memory_store.py
+++ b/tests/standins/memory_store.py
@@ -2,7 +2,7 @@
 
 import expression
 
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import objects
 
 
@@ -30,19 +30,19 @@
 
     async def get(self, key: str):
         if self.is_away:
-            return expression.Error(errors.PlatformUnavailable("get"))
+            return expression.Error(platform_errors.PlatformUnavailable("get"))
         if key not in self.objects:
-            return expression.Error(errors.ObjectMissing(key))
+            return expression.Error(platform_errors.ObjectMissing(key))
         return expression.Ok(self.objects[key])
 
     async def put(self, key: str, data: bytes, expected: int):
         if self.is_away:
-            return expression.Error(errors.PlatformUnavailable("put"))
+            return expression.Error(platform_errors.PlatformUnavailable("put"))
         known = self.objects.get(key)
         current = known.version if known else objects.ABSENT
         if current != expected:
             return expression.Error(
-                errors.VersionConflict(key, expected, current)
+                platform_errors.VersionConflict(key, expected, current)
             )
         self._version += 1
         self.objects[key] = objects.Stored(key, self._version, data)
--- a/tests/standins/platform_core.py
+++ b/tests/standins/platform_core.py
@@ -8,7 +8,7 @@
 import expression
 
 from seam_model import endpoints
-from seam_model import errors
+from seam_model import platform_errors
 from seam_node.ports import platform
 
 ANNOUNCEMENT_TTL_S = 6.0
@@ -36,7 +36,7 @@
         self.counts["reads"] += 1
         stored = self._objects.get(key)
         if stored is None:
-            return expression.Error(errors.ObjectMissing(key))
+            return expression.Error(platform_errors.ObjectMissing(key))
         return expression.Ok(stored)
 
     def put(self, key: str, data: bytes, expected: int) -> expression.Result:
@@ -116,12 +116,12 @@
 
     def _conflict(
         self, key: str, expected: int
-    ) -> errors.VersionConflict | None:
+    ) -> platform_errors.VersionConflict | None:
         stored = self._objects.get(key)
         current = platform.ABSENT if stored is None else stored.version
         if current == expected:
             return None
-        return errors.VersionConflict(key, expected, current)
+        return platform_errors.VersionConflict(key, expected, current)
 
     def _notify_watchers(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -15,7 +15,7 @@
 
 from seam_model import codec
 from seam_model import endpoints
-from seam_model import errors
+from seam_model import platform_errors
 from standins import platform_core
 
 
@@ -53,7 +53,7 @@
             )
             self.finish(getattr(stored, "data", b""))
             return
-        conflict = isinstance(result.error, errors.VersionConflict)
+        conflict = isinstance(result.error, platform_errors.VersionConflict)
         self.set_status(409 if conflict else 404)
         current = result.error.current if conflict else 0
         self.set_header("X-Version", str(current))
--- a/tests/standins/service_core.py
+++ b/tests/standins/service_core.py
@@ -8,7 +8,7 @@
 import attrs
 import expression
 
-from seam_model import errors
+from seam_model import endpoint_errors
 from seam_model import requests
 
 OPERATIONS = {
@@ -60,12 +60,18 @@
 
     async def call(
         self, service: str, operation: str, key: str, body: bytes
-    ) -> expression.Result[requests.ServiceReply, errors.EndpointError]:
+    ) -> expression.Result[
+        requests.ServiceReply, endpoint_errors.EndpointError
+    ]:
         """Runs one operation on each call; repeated keys run again."""
         if self.faults.down:
-            return expression.Error(errors.EndpointUnreachable(self.name))
+            return expression.Error(
+                endpoint_errors.EndpointUnreachable(self.name)
+            )
         if operation not in OPERATIONS.get(service, ()):
-            return expression.Error(errors.OrderRejected(self.name, 404))
+            return expression.Error(
+                endpoint_errors.OrderRejected(self.name, 404)
+            )
         now = asyncio.get_running_loop().time()
         text = body.decode()
         run = Execution(service, operation, key, text, now)
@@ -75,7 +81,7 @@
         await self._answering.wait()
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            return expression.Error(errors.EndpointLost(self.name))
+            return expression.Error(endpoint_errors.EndpointLost(self.name))
         reply = f'{{"execution":{number},"key":"{key}"}}'.encode()
         return expression.Ok(
             requests.ServiceReply(200, "application/json", reply)
--- a/tests/test_standins/test_fakes.py
+++ b/tests/test_standins/test_fakes.py
@@ -6,9 +6,11 @@
 import attrs
 import pytest
 
+from seam_model import endpoint_errors
 from seam_model import endpoints
 from seam_model import errors
 from seam_model import peers
+from seam_model import platform_errors
 from standins import engine_core
 from standins import fakes
 from standins import virtual_loop
@@ -68,7 +70,7 @@
         assert (await old.read()).is_error()
         stale = endpoints.ResumeOrder("r", 1, 0)
         refused = (await pair.decoder.resume(stale, 9.0)).error
-        assert isinstance(refused, errors.StreamUnknown)
+        assert isinstance(refused, endpoint_errors.StreamUnknown)
         rest, _ = await read_all(new)
         return [first, *rest]
 
@@ -89,7 +91,7 @@
         return pair, result.error
 
     pair, error = virtual_loop.run(scenario())
-    assert isinstance(error, errors.KvExpired)
+    assert isinstance(error, endpoint_errors.KvExpired)
     assert pair.cores["p"].wasted_prefill_tokens == 1000
 
 
@@ -109,7 +111,7 @@
     assert [h.request_id for h in held] == ["r"]
     assert held[0].idle_s > 29
     assert after == ()
-    assert isinstance(refused, errors.OrderRejected)
+    assert isinstance(refused, endpoint_errors.OrderRejected)
 
 
 def test_lost_answer_leaves_the_stream_running():
@@ -123,7 +125,7 @@
         return lost.error, await read_all(stream)
 
     error, (chunks, broke) = virtual_loop.run(scenario())
-    assert isinstance(error, errors.EndpointLost)
+    assert isinstance(error, endpoint_errors.EndpointLost)
     assert not broke
     assert sum(chunk.count for chunk in chunks) == 51
 
@@ -205,9 +207,9 @@
         return lost.error, again.error, down.error, (await watching).ok
 
     lost, again, down, watched = virtual_loop.run(scenario())
-    assert isinstance(lost, errors.PlatformAmbiguous)
-    assert again == errors.VersionConflict("k", 0, 1)
-    assert isinstance(down, errors.PlatformUnavailable)
+    assert isinstance(lost, platform_errors.PlatformAmbiguous)
+    assert again == platform_errors.VersionConflict("k", 0, 1)
+    assert isinstance(down, platform_errors.PlatformUnavailable)
     assert watched.data == b"1"
 
 
@@ -224,9 +226,9 @@
         return failed.error, retried.is_ok(), full.error
 
     failed, retried, full = virtual_loop.run(scenario())
-    assert isinstance(failed, errors.TransferFailed)
+    assert isinstance(failed, endpoint_errors.TransferFailed)
     assert retried
-    assert isinstance(full, errors.EndpointFull)
+    assert isinstance(full, endpoint_errors.EndpointFull)
 
 
 def test_prefill_serves_the_urgent_rank_first():
