Restore the store from a copy in the soak

Besides the usual checks each instance must have the newest configuration in force 4 s after the last fault.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 DOWN_S = 0.4
 STOPPED_S = 1.5
 AWAY_S = 1.2
+COPY_AGE_S = 2.0
 MOOD_S = 1.2
 MOODS = ("refuse", "cut", "twice", "unframed")
 LIMIT = 2.0
@@ -53,6 +54,21 @@
     counts["history dropped"] += 1
 
 
+async def store_restored(fleet, rng, counts):
+    """Has the store come back from a copy, at times without an outage."""
+    copy = fleet.store.copy()
+    fleet.configure()
+    await asyncio.sleep(rng.uniform(0.0, COPY_AGE_S))
+    is_away = rng.random() < 0.5
+    if is_away:
+        fleet.store.status = 503
+        await asyncio.sleep(rng.uniform(0.1, AWAY_S))
+    fleet.restore_store(copy)
+    if is_away:
+        fleet.store.status = 0
+    counts["store restored"] += 1
+
+
 async def moody(fleet, rng, counts):
     """Has an endpoint answer badly for a while."""
     backend = rng.choice(fleet.backends)
@@ -68,5 +84,6 @@
     counts["endpoint replaced"] += 1
 
 
+RESTORED = (store_restored, store_restored, restart, freeze, kill, replace)
 PLANNED = (restart, replace, store_forgets)
 ALL = (restart, kill, freeze, store_away, store_forgets, moody, moody, replace)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import signal
 import time
 
@@ -25,6 +26,7 @@
 DOWN_S = 0.3
 CRASHED_S = 0.6
 START_S = 15.0
+VERSION = re.compile(r"event=routes_in_force .*version=(\d+)")
 
 
 class Fleet:
@@ -41,14 +43,15 @@
         self.left = []
         """Endpoints that have left, with the time of the store's answer."""
         self.crashes = 0
+        self.version = 0
+        """Version of the newest configuration."""
         self._services = {}
         self._number = 0
         self._watcher = None
 
     async def start(self):
         self._server.start()
-        plain = forward_world.configuration(1, forward_world.DEFAULT_ROUTES)
-        self.store.put("config", "main", plain)
+        self.configure()
         for name, service, stage in BACKENDS:
             await self._add_backend(name, service, stage)
         for name in NAMES:
@@ -60,6 +63,31 @@
         await asyncio.gather(*(self._start(m) for m in self.members))
         self._watcher = asyncio.ensure_future(self._revive_crashed())
 
+    def configure(self):
+        """Writes a new configuration."""
+        self.version += 1
+        plain = forward_world.configuration(
+            self.version, forward_world.DEFAULT_ROUTES
+        )
+        self.store.put("config", "main", plain)
+
+    def versions_in_force(self):
+        """Returns the version that each instance has logged last."""
+        return [
+            max(map(int, VERSION.findall(member.output.read_text())), default=0)
+            for member in self.members
+        ]
+
+    def restore_store(self, copy):
+        """Restores the store; others than the router write anew at once."""
+        shown = self.store.objects["servers"]
+        self.store.restore(copy)
+        for name in set(self.store.objects["servers"]) - set(shown):
+            self.store.remove("servers", name)
+        for name, item in shown.items():
+            self.store.put("servers", name, item["spec"])
+        self.configure()
+
     async def close(self):
         if self._watcher is not None:
             self._watcher.cancel()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -27,6 +27,7 @@
 RECOVERY_S = 12.0
 LIMIT = 2.0
 STABLE_S = 3.0
+APPLY_S = 4.0
 MIN_ANSWERED = 100
 
 
@@ -143,6 +144,21 @@
     assert 1 <= runs <= checks.MAX_DEADLY_RUNS
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_restores_of_the_store_overlapping(tmp_path, seed):
+    in_force = []
+
+    async def script(soak):
+        await soak.strike(faults.RESTORED, overlap=True)
+        await asyncio.sleep(APPLY_S)
+        in_force.extend(soak.fleet.versions_in_force())
+
+    soak = Soak(tmp_path, seed)
+    asyncio.run(soak.play(script))
+    soak.check()
+    assert set(in_force) == {soak.fleet.version}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_limit_through_planned_restarts(tmp_path, seed):
     limited_from = []
