--- a/tests/seam_node/forward/store/test_restored_store.py
+++ b/tests/seam_node/forward/store/test_restored_store.py
@@ -110,14 +110,17 @@
     feed_world.run(scenario)
 
 
+async def restore_with_an_endpoint_that_left(world):
+    """All instances know that e-1 left; the copy has it."""
+    copy = world.store.copy()
+    world.store.remove("servers", "e-1")
+    await world.until(lambda: not any(each.names for each in world.instances))
+    world.store.restore(copy)
+
+
 def test_an_endpoint_that_the_store_keeps_after_a_restore_is_used_again():
     async def scenario(world):
-        copy = world.store.copy()
-        world.store.remove("servers", "e-1")
-        await world.until(
-            lambda: not any(each.names for each in world.instances)
-        )
-        world.store.restore(copy)
+        await restore_with_an_endpoint_that_left(world)
         await world.until(
             lambda: all(each.names == {"e-1"} for each in world.instances)
         )
@@ -127,12 +130,7 @@
 
 def test_an_endpoint_that_announces_itself_after_a_restore_is_used_at_once():
     async def scenario(world):
-        copy = world.store.copy()
-        world.store.remove("servers", "e-1")
-        await world.until(
-            lambda: not any(each.names for each in world.instances)
-        )
-        world.store.restore(copy)
+        await restore_with_an_endpoint_that_left(world)
         await world.until(
             lambda: all(each.link.era == 2 for each in world.instances)
         )
