Send a request again on a connection that has not carried it

Cause: an answer is matched with its request by the request's id, which is the same each time the request is sent, and the pool handed out the connection that had carried the refusal. The second copy of that refusal, late, was taken for the answer to the second sending, and a third one followed.

The first test fails before with two runs instead of one, the second, a copy of an earlier prefill's answer taken for the next one's, with the used handle kv1 for kv2.

Ruled out: the number of attempts (a refused sending is no run, so another one is allowed), and bytes on idle connections (noticed and closed before).

Why this works: a copy comes on the connection of the sending that it answers. A request remembers the numbers of its connections, and the pool skips them, so on any connection an answer with this id can only be that sending's own. The memory is bounded by the sendings of one request.

--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -83,6 +83,8 @@
     deadline_at: float = 0.0
     tried: list[str] = attrs.field(factory=list)
     """Keys of the endpoints that the request was sent to, in order."""
+    used_conns: set[int] = attrs.field(factory=set)
+    """Numbers of the connections to endpoints that carried the request."""
     sends: int = 0
     reached_endpoint: bool = False
     """Whether an endpoint may have executed the request."""
--- a/packages/seam_node/seam_node/forward/endpoints/connections.py
+++ b/packages/seam_node/seam_node/forward/endpoints/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Collection
 
 import expression
 from tornado import iostream
@@ -35,10 +36,17 @@
         """Connections opened since the start."""
 
     async def acquire(
-        self, address: forwarding.Address, require_new: bool = False
+        self,
+        address: forwarding.Address,
+        excluded: Collection[int] = (),
     ) -> Opened:
-        """Returns an idle connection or opens a new one."""
-        reusable = None if require_new else self._take_idle(address)
+        """Returns an idle connection or opens a new one.
+
+        Args:
+            address: where to connect.
+            excluded: numbers of connections that must not be used.
+        """
+        reusable = self._take_idle(address, excluded)
         if reusable is not None:
             return expression.Ok(reusable)
         return await self._open(address)
@@ -92,12 +100,14 @@
             self.drop(address)
 
     def _take_idle(
-        self, address: forwarding.Address
+        self, address: forwarding.Address, excluded: Collection[int]
     ) -> sockets.EndpointStream | None:
-        idle = self._idle.get(address)
+        idle = self._idle.get(address, ())
         now = _loop_time()
-        while idle:
-            stream = idle.pop()
+        for stream in tuple(reversed(idle)):
+            if stream.number in excluded:
+                continue
+            idle.remove(stream)
             if stream.idle_until > now and stream.is_clean():
                 return stream
             stream.close()
@@ -106,6 +116,7 @@
     async def _open(self, address: forwarding.Address) -> Opened:
         stream = sockets.open_stream()
         self.opened_count += 1
+        stream.number = self.opened_count
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await stream.connect((address.host, address.port))
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -143,18 +143,29 @@
         address: forwarding.Address,
         call: forwarding.EndpointCall,
         receiver: Receiver,
-        require_new: bool = False,
+        used_conns: set[int] | None = None,
     ) -> SendResult:
         """Sends a call and waits for the complete answer.
 
         Cancellation closes the connection. Errors: `EndpointUnreachable` if
         no byte was sent; `EndpointLost` if the answer was truncated, missing
         or replaced by answers to other requests.
+
+        Args:
+            address: address of the endpoint.
+            call: the call.
+            receiver: receives the answer.
+            used_conns: numbers of the connections that have carried the call's
+                request id, which is the same each time a request is sent. A
+                second copy of an earlier answer may still arrive on them, so
+                they are not used; the one that is used is added.
         """
-        acquired = await self._conns.acquire(address, require_new)
+        used_conns = set() if used_conns is None else used_conns
+        acquired = await self._conns.acquire(address, used_conns)
         if acquired.is_error():
             return expression.Error(acquired.error)
         stream = acquired.ok
+        used_conns.add(stream.number)
         head = None
         try:
             head = await self._exchange(stream, call, receiver)
@@ -226,16 +237,18 @@
     address: forwarding.Address,
     call: forwarding.EndpointCall,
     timeout_s: float,
+    used_conns: set[int] | None = None,
 ) -> expression.Result[bytes, endpoint_errors.EndpointError]:
     """Sends an internal call; returns the body of a successful answer.
 
     Errors: `EndpointRefused` for a status other than success;
-    `EndpointUnreachable`; `EndpointLost`, also on timeout.
+    `EndpointUnreachable`; `EndpointLost`, also on timeout. `used_conns` is
+    that of `EndpointClient.send`.
     """
     body = BodyCollector()
     try:
         async with asyncio.timeout(timeout_s):
-            sent = await client.send(address, call, body)
+            sent = await client.send(address, call, body, used_conns)
     except TimeoutError:
         return expression.Error(endpoint_errors.EndpointLost(str(address)))
     if sent.is_error():
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -76,7 +76,9 @@
             self._budget.record_request(ctx.service.name, ctx.now())
         call = self._codec.forward_call(ctx.req, endpoint, options)
         ctx.reached_endpoint = True
-        sent = await self._client.send(endpoint.address, call, receiver)
+        sent = await self._client.send(
+            endpoint.address, call, receiver, ctx.used_conns
+        )
         result = _check_answer(endpoint, sent)
         if result.is_error():
             ctx.reached_endpoint = reached_before or _may_have_run(result.error)
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -200,6 +200,7 @@
             engine.address,
             call,
             min(MIN_PREFILL_TIMEOUT_S + 2 * queued_s, remaining_s),
+            ctx.used_conns,
         )
         if response.is_error():
             if isinstance(response.error, endpoint_errors.EndpointUnreachable):
--- a/packages/seam_node/seam_node/forward/sockets.py
+++ b/packages/seam_node/seam_node/forward/sockets.py
@@ -16,6 +16,8 @@
     def __init__(self, sock: socket.socket):
         """Takes a non-blocking socket."""
         super().__init__(sock, max_buffer_size=MAX_BUFFER_BYTES)
+        self.number = 0
+        """Number of the connection among those of its pool."""
         self.idle_until = 0.0
         """Event loop time until which the connection may stay idle."""
 
--- /dev/null
+++ b/tests/seam_node/forward/test_second_copies.py
@@ -0,0 +1,115 @@
+"""Second copies of answers, which endpoints send late.
+
+Each test guards against taking a copy of an earlier answer for the answer to a
+later call on the same connection.
+"""
+
+import asyncio
+
+from standins import forward_endpoint
+from standins import forward_world
+
+COPY_DELAY_S = 0.15
+RUN_S = 0.4
+"""Time from the start of a run to its first event."""
+
+
+def is_run(received):
+    internal = received.target.startswith("/sycamoreseam/")
+    return not internal and not received.prefills
+
+
+def refusal(received):
+    return forward_endpoint.answer(
+        received,
+        b"",
+        "503 Service Unavailable",
+        Server_Seal="",
+        Not_Executed="1",
+    )
+
+
+class RefusesOnce:
+    """Refuses the first of some calls, and sends the refusal once more."""
+
+    def __init__(self, concerns):
+        self._concerns = concerns
+        self._is_first = True
+
+    async def __call__(self, endpoint, received, writer):
+        if not self._concerns(received):
+            await forward_endpoint.reply_engine(endpoint, received, writer)
+            return
+        if self._is_first:
+            self._is_first = False
+            writer.write(refusal(received))
+            asyncio.get_running_loop().call_later(
+                COPY_DELAY_S, writer.write, refusal(received)
+            )
+            return
+        await asyncio.sleep(RUN_S)
+        await forward_endpoint.reply_engine(endpoint, received, writer)
+
+
+def test_late_copy_of_refusal_makes_no_request_run_twice():
+    async def scenario(world):
+        _, decode = await world.engines()
+        decode.reply = RefusesOnce(is_run)
+        caller = await world.connect()
+        response = await caller.request_model()
+        assert (response.status, response.complete) == (200, True)
+        assert len(decode.ran) == 1
+
+    forward_world.run_scenario(scenario)
+
+
+class PrefillsWithCopy:
+    """Prefills; sends the first answer once more, during the next prefill."""
+
+    def __init__(self):
+        self._count = 0
+
+    async def __call__(self, endpoint, received, writer):
+        if not received.prefills:
+            await forward_endpoint.reply_engine(endpoint, received, writer)
+            return
+        self._count += 1
+        body = b'{"kv_handle":"kv%d","tokens":1}' % self._count
+        reply = forward_endpoint.answer(received, body)
+        if self._count == 1:
+            asyncio.get_running_loop().call_later(
+                COPY_DELAY_S, writer.write, reply
+            )
+        else:
+            await asyncio.sleep(RUN_S)
+        writer.write(reply)
+
+
+class LosesFirstRun:
+    """Closes the connection of the first run, at whichever engine it is."""
+
+    def __init__(self):
+        self._is_first = True
+
+    async def __call__(self, endpoint, received, writer):
+        if is_run(received) and self._is_first:
+            self._is_first = False
+            writer.close()
+            return
+        await forward_endpoint.reply_engine(endpoint, received, writer)
+
+
+def test_late_copy_of_prefill_is_not_taken_for_the_next_one():
+    async def scenario(world):
+        prefill, decode = await world.engines()
+        decodes = [decode, await world.engine("decode-2", "decode")]
+        prefill.reply = PrefillsWithCopy()
+        decode.reply = decodes[1].reply = LosesFirstRun()
+        caller = await world.connect()
+        response = await caller.request_model("/long/1")
+        assert (response.status, response.complete) == (200, True)
+        (run,) = [run for each in decodes for run in each.ran]
+        source = run.headers["kv-source"]
+        assert source == f"127.0.0.1:{prefill.port}/kv2"
+
+    forward_world.run_scenario(scenario)
