Take no answer that names a request for the answer to a call without one

Callers saw: an engine with room refused, a hold left behind until it expired, and so a longer wait for a place.

Cause: calls of the router itself (holds, releases, reports, orders) carry no request id, and any answer on their connection was taken for theirs. A second copy of a refused run's answer made the next hold on that connection count as refused.

Why this works: endpoints repeat the id of each request that has one, so an answer with an id belongs to such a request.

--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -101,10 +101,8 @@
         if start_line.code < 200:
             return
         self.head = self._codec.decode_answer_head(start_line, headers)
-        expected_id = self._call.request_id
-        self.mismatched = (
-            bool(expected_id) and self.head.request_id != expected_id
-        )
+        # A call without an id gets an answer without one.
+        self.mismatched = self.head.request_id != self._call.request_id
         if not self.mismatched:
             self._on_head(self.head)
             self._receiver.head(self.head)
--- a/tests/seam_node/forward/test_second_copies.py
+++ b/tests/seam_node/forward/test_second_copies.py
@@ -113,3 +113,37 @@
         assert source == f"127.0.0.1:{prefill.port}/kv2"
 
     forward_world.run_scenario(scenario)
+
+
+class CopiesRefusalIntoHold:
+    """Refuses a run; sends the refusal again while a hold is asked for."""
+
+    def __init__(self):
+        self._refused = None
+
+    async def __call__(self, endpoint, received, writer):
+        if is_run(received) and self._refused is None:
+            self._refused = (received, writer)
+            writer.write(refusal(received))
+            return
+        is_hold = received.target.startswith("/sycamoreseam/hold-take")
+        if is_hold and self._refused and self._refused[1] is writer:
+            writer.write(refusal(self._refused[0]))
+            await asyncio.sleep(COPY_DELAY_S)
+        await forward_endpoint.reply_engine(endpoint, received, writer)
+
+
+def test_late_copy_of_refusal_is_not_taken_for_the_answer_to_a_hold():
+    async def scenario(world):
+        _, decode = await world.engines()
+        decode.reply = CopiesRefusalIntoHold()
+        caller = await world.connect()
+        response = await caller.request_model()
+        assert (response.status, response.complete) == (200, True)
+        asked = [each.target for each in decode.received].count(
+            "/sycamoreseam/hold-take"
+        )
+        # The second hold was not taken for refused.
+        assert (asked, decode.ran[0].headers["kv-hold"]) == (2, "h2")
+
+    forward_world.run_scenario(scenario)
