Refuse waiting requests that a leaving instance can't finish any more

Cause: whether a request can be finished was decided once, on arrival, without the wait for a place; and a request that was cancelled at the exit was taken for one whose caller had left, so no refusal was written.

Before, five cases of test_leaving.py fail: no answer in four, and a stream that begins in a leaving instance after a slow prefill in the fifth. The other two (a call that may be repeated, a stream that runs) hold before and after.

Ruled out: wrong estimates of running streams (the lost ones had not begun).

Why this works: each model request that no endpoint may have run has a latest time to begin while the instance leaves. The wait, the prefill and the moment before the send are all held to it, and the 503 is true as nothing was sent. At the exit, callers that are still there are answered: 503 if nothing may have run the request, else 502. Related: plain calls that run at the exit, and requests that arrive while the exit cancels the others.

--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -69,6 +69,11 @@
         _ignore_closed(self._conn.write_headers(start, headers, body or None))
         self.finish()
 
+    @property
+    def connected(self) -> bool:
+        """Whether the caller is still there."""
+        return not self._conn.stream.closed()
+
     @property
     def ended(self) -> bool:
         """Whether the answer has been finished or aborted."""
@@ -203,9 +208,12 @@
     async def close(self) -> None:
         """Cancels the running requests and closes all connections."""
         self._server.stop()
-        for task in tuple(self.running):
-            task.cancel()
-        await asyncio.gather(*self.running, return_exceptions=True)
+        while self.running:
+            # Requests that arrive meanwhile are cancelled in the next round.
+            running = tuple(self.running)
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
         await self._server.close_all_connections()
 
 
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from seam_model import errors
 from seam_model import forwarding
 from seam_node.forward.fleet import messages
 
@@ -68,6 +69,18 @@
     handle: str
 
 
+class StartLimit(abc.ABC):
+    """Limits the time until which a request may be sent to an endpoint."""
+
+    @abc.abstractmethod
+    def apply(self) -> None:
+        """Sets the time anew, as the request was sent, placed or refused."""
+
+    @abc.abstractmethod
+    def error(self) -> errors.SeamError | None:
+        """Returns why the request must not be sent any more, or None."""
+
+
 @attrs.define(eq=False)
 class ForwardContext:
     """State of one request, shared by the filters."""
@@ -86,6 +99,8 @@
     used_conns: set[int] = attrs.field(factory=set)
     """Numbers of the connections to endpoints that carried the request."""
     sends: int = 0
+    start_limit: StartLimit | None = None
+    """None if the request does not wait before it is sent."""
     reached_endpoint: bool = False
     """Whether an endpoint may have executed the request."""
     failed_keys: set[str] = attrs.field(factory=set)
@@ -141,6 +156,15 @@
         tried = set(self.tried)
         return tuple(tried) if len(tried) >= self.route.max_attempts else ()
 
+    def apply_start_limit(self) -> None:
+        """Limits the time to send the request, as its state has changed."""
+        if self.start_limit is not None:
+            self.start_limit.apply()
+
+    def start_error(self) -> errors.SeamError | None:
+        """Returns why the request must not be sent any more, or None."""
+        return None if self.start_limit is None else self.start_limit.error()
+
     def record_sent(self, key: str) -> None:
         """Records that the request is sent to an endpoint."""
         self.tried.append(key)
--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -1,5 +1,6 @@
 """Runs each request through the filter chain and records its outcome."""
 
+import asyncio
 from collections.abc import Callable
 
 from seam_model import endpoint_errors
@@ -22,6 +23,7 @@
 
     def __init__(
         self,
+        instance: str,
         codec: wire.Wire,
         filters: chain.Chain,
         store_age_s: Callable[[], float],
@@ -32,6 +34,7 @@
         """Creates a handler.
 
         Args:
+            instance: name of this instance.
             codec: decodes requests and encodes header fields.
             filters: the chain that processes a request.
             store_age_s: returns the time since the store's last answer.
@@ -39,6 +42,7 @@
             meter: where outcomes are counted.
             log: where outcomes are logged.
         """
+        self._instance = instance
         self._codec = codec
         self._chain = filters
         self._store_age_s = store_age_s
@@ -54,7 +58,8 @@
         """Handles one request.
 
         An answer that cannot be completed is cut off by closing the
-        connection.
+        connection. A request that is cancelled though its caller is there, as
+        the instance exits, is refused.
         """
         parsed = self._codec.decode_request(raw.start, raw.headers, raw.body)
         if parsed.is_error():
@@ -72,6 +77,10 @@
             self._log.bug("request_failed", exc, request=ctx.req.id)
             ctx.reached_endpoint = True
             error = errors.Internal(type(exc).__name__)
+        except asyncio.CancelledError:
+            if answer.connected:
+                error = errors.InstanceLeaving(self._instance)
+            raise
         finally:
             if error is not None and not isinstance(error, errors.CallerGone):
                 self._finish_failed(ctx, answer, error)
--- a/packages/seam_node/seam_node/forward/chains.py
+++ b/packages/seam_node/seam_node/forward/chains.py
@@ -6,6 +6,7 @@
 
 from seam_node import chain
 from seam_node import logs
+from seam_node.forward.callers import departure
 from seam_node.forward.endpoints import endpoint_limits
 from seam_node.forward.endpoints import engine_access
 from seam_node.forward.endpoints import request_sender
@@ -29,8 +30,6 @@
 class Parts:
     """What the filters of an instance share."""
 
-    instance: str
-    """Name of the instance."""
     routes: catalog_state.Routes
     engines: engine_access.EngineAccess
     limits: endpoint_limits.EndpointLimits
@@ -42,8 +41,8 @@
     """Returns the one-way delay to a data centre."""
     routes_up_to_date: Callable[[], bool]
     """Returns whether a route that is not known does not exist."""
-    time_to_exit_s: Callable[[], float | None]
-    """Returns the time until exit; None if the instance is not leaving."""
+    departure: departure.Departure
+    """When this instance exits, if it is leaving."""
 
 
 def make(parts: Parts) -> chain.Chain:
@@ -51,7 +50,7 @@
     return chain.Chain(
         [
             route.RouteFilter(parts.routes, parts.routes_up_to_date),
-            leave.LeaveFilter(parts.instance, parts.time_to_exit_s, parts.load),
+            leave.LeaveFilter(parts.departure),
             deadline.DeadlineFilter(),
             kind.KindFilter(_model_chain(parts), _plain_chain(parts)),
         ]
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -76,12 +76,14 @@
             self._budget.record_request(ctx.service.name, ctx.now())
         call = self._codec.forward_call(ctx.req, endpoint, options)
         ctx.reached_endpoint = True
+        ctx.apply_start_limit()
         sent = await self._client.send(
             endpoint.address, call, receiver, ctx.used_conns
         )
         result = _check_answer(endpoint, sent)
         if result.is_error():
             ctx.reached_endpoint = reached_before or _may_have_run(result.error)
+            ctx.apply_start_limit()
             self._record_failure(ctx, endpoint, result.error)
         return result
 
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -61,9 +61,9 @@
     ) -> base.Result:
         """Runs the request and relays the answer as it arrives."""
         del proceed
-        quarantined = guard.check(self._prompts, ctx)
-        if quarantined is not None:
-            return base.fail(quarantined)
+        refused = guard.check(self._prompts, ctx) or ctx.start_error()
+        if refused is not None:
+            return base.fail(refused)
         rate = _OutputRate(ctx, self._load, self._places, self._prompts)
         stream_relay = relay.make_relay(ctx, rate.on_progress, self._codec)
         options = wire.SendOptions(
--- a/packages/seam_node/seam_node/forward/filters/reserve.py
+++ b/packages/seam_node/seam_node/forward/filters/reserve.py
@@ -47,6 +47,7 @@
         finally:
             self._places.end(ctx.placement.number, engine.key, ctx.outcome)
             ctx.placement = None
+            ctx.apply_start_limit()
 
     async def _run_held(
         self,
@@ -58,6 +59,7 @@
         ctx.hold_id = hold_id
         ctx.reserved_at = ctx.now()
         ctx.hold_used = False
+        ctx.apply_start_limit()
         try:
             return await proceed(ctx)
         finally:
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -17,6 +17,7 @@
 from seam_node.forward import forward_gauges
 from seam_node.forward import suspend_watch
 from seam_node.forward.callers import caller_server
+from seam_node.forward.callers import departure
 from seam_node.forward.callers import entry
 from seam_node.forward.callers import handler
 from seam_node.forward.endpoints import call_stats
@@ -91,8 +92,6 @@
         self.log = log
         self._now = ports.clock.monotonic
         self._leaving = False
-        self._exit_at: float | None = None
-        """Time by which the instance exits; None until it is leaving."""
         listen = settings.listen
         self.entry = forwarding.InstanceEntry(
             settings.instance.name,
@@ -104,6 +103,7 @@
         self._make_state()
         self._make_senders()
         self._handler = handler.RequestHandler(
+            self.entry.name,
             ports.wire,
             self._make_chain(),
             self._endpoints_watch.age_s,
@@ -155,7 +155,7 @@
         self._leaving = True
         self._announcer.close()
         exit_at = started_at + grace_s - EXIT_MARGIN_S
-        self._exit_at = exit_at
+        self._departure.begin(exit_at)
         self.log.event(
             "instance_leaving", running=len(self.caller_server.running)
         )
@@ -227,6 +227,9 @@
         )
         self._store_link.on_restored.append(self.peers.on_store_restored)
         self.load = workload.WorkloadEstimate(self.settings.workload, self._now)
+        self._departure = departure.Departure(
+            self.entry.name, self.load, self._now
+        )
         self._suspend_watch = suspend_watch.SuspendWatch(
             self._now, self._on_resume, self.log
         )
@@ -370,7 +373,6 @@
     def _make_chain(self) -> chain.Chain:
         return chains.make(
             chains.Parts(
-                self.entry.name,
                 self.routes,
                 self._engines,
                 self.limits,
@@ -380,7 +382,7 @@
                 self.log,
                 self.settings.one_way_s,
                 self._routes_up_to_date,
-                self._time_to_exit_s,
+                self._departure,
             )
         )
 
@@ -400,12 +402,6 @@
 
     # Callbacks of controllers
 
-    def _time_to_exit_s(self) -> float | None:
-        """Returns the time until exit; None if the instance is not leaving."""
-        if self._exit_at is None:
-            return None
-        return self._exit_at - self._now()
-
     def _routes_up_to_date(self) -> bool:
         """Returns whether a route that is not known does not exist.
 
