Ask whether an endpoint may get work right before each call is sent

Cause: whether an endpoint may get work was asked when it was chosen, not when the call was sent; between them lie the hold, the prefill and the connection.

Ruled out: a late catalogue (all instances knew), and the placer, which grants no place at an engine that it knows to leave.

Why this works: the one client for endpoints asks `availability` between having a connection and writing to it, and nothing waits in between. What was not sent is placed anew without a retry; its KV cache stays with the request while it is kept. Calls that only release something still go to leaving endpoints.

One assert line of an old test changed: `still_usable` takes the key of an incarnation instead of the endpoint, as the client knows only the key.

--- a/packages/seam_model/seam_model/endpoint_errors.py
+++ b/packages/seam_model/seam_model/endpoint_errors.py
@@ -25,6 +25,14 @@
     """Nothing listens at the endpoint's address any more."""
 
 
+@attrs.frozen
+class EndpointUnavailable(EndpointUnreachable):
+    """The endpoint may get no new work now; nothing was sent."""
+
+    code = "endpoint_unavailable"
+    reason: str
+
+
 @attrs.frozen
 class EndpointLost(EndpointError):
     """The connection broke or timed out after the order was sent."""
--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -152,6 +152,11 @@
         return f"{self.id}/{self.started_ms}"
 
 
+def endpoint_id(key: str) -> str:
+    """Returns the id of the endpoint whose incarnation has a key."""
+    return key.rpartition("/")[0]
+
+
 @attrs.frozen
 class InstanceEntry:
     """Record by which an instance announces itself to other instances."""
@@ -226,6 +231,9 @@
     """Request id that the answer must repeat; empty if none is required."""
     endpoint_key: str = ""
     """Key of the endpoint's incarnation."""
+    is_work: bool = True
+    """Whether the call gives the endpoint something to do. False for one that
+    releases what the endpoint holds, which also a leaving endpoint gets."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -67,6 +67,8 @@
 
     endpoint: forwarding.Endpoint
     handle: str
+    kept_until: float
+    """Time until which a decode engine can still fetch it."""
 
 
 class StartLimit(abc.ABC):
@@ -117,8 +119,10 @@
     prompt_trial: bool = False
     """Whether this request may try a prompt that is in quarantine."""
     hold_used: bool = False
-    """Whether the hold and the KV cache were sent to an engine."""
+    """Whether the hold was sent to an engine."""
     kv: PrefilledKv | None = None
+    """KV cache that no decode engine has been told of yet, or that is being
+    fetched."""
     prefills: int = 0
     retry_after_s: float = 0.5
     status: int = 0
--- a/packages/seam_node/seam_node/forward/chains.py
+++ b/packages/seam_node/seam_node/forward/chains.py
@@ -16,6 +16,7 @@
 from seam_node.forward.filters import decode
 from seam_node.forward.filters import guard
 from seam_node.forward.filters import kind
+from seam_node.forward.filters import kv
 from seam_node.forward.filters import leave
 from seam_node.forward.filters import prefill
 from seam_node.forward.filters import reserve
@@ -63,6 +64,7 @@
         [
             attempt.AttemptFilter(parts.sender, fleet.prompts, parts.log),
             guard.GuardFilter(fleet.prompts),
+            kv.KvFilter(parts.engines),
             reserve.ReserveFilter(
                 fleet.places, holds.EngineHolds(parts.engines)
             ),
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -13,6 +13,7 @@
 from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node.forward import sockets
+from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import connections
 from seam_node.forward.endpoints import endpoint_limits
 from seam_node.ports import wire
@@ -130,8 +131,17 @@
         codec: wire.Wire,
         conns: connections.Connections,
         limits: endpoint_limits.EndpointLimits,
+        available: availability.Availability,
     ):
-        """Takes the codec, the connection pool and the endpoints' limits."""
+        """Creates a client.
+
+        Args:
+            codec: decodes answers.
+            conns: the connection pool.
+            limits: told the rate limits that answers name.
+            available: tells which endpoints may get work.
+        """
+        self._available = available
         self._codec = codec
         self._conns = conns
         self._limits = limits
@@ -146,7 +156,8 @@
         """Sends a call and waits for the complete answer.
 
         Cancellation closes the connection. Errors: `EndpointUnreachable` if
-        no byte was sent; `EndpointLost` if the answer was truncated, missing
+        no byte was sent, `EndpointUnavailable` if the endpoint may get no work
+        any more; `EndpointLost` if the answer was truncated, missing
         or replaced by answers to other requests.
 
         Args:
@@ -163,6 +174,11 @@
         if acquired.is_error():
             return expression.Error(acquired.error)
         stream = acquired.ok
+        if call.is_work:
+            unavailable = self._available.error(call.endpoint_key)
+            if unavailable is not None:
+                stream.close()
+                return expression.Error(unavailable)
         used_conns.add(stream.number)
         head = None
         try:
@@ -196,7 +212,7 @@
         sent_at = self._limits.now()
 
         def on_head(head: forwarding.AnswerHead) -> None:
-            if call.endpoint_key and not head.misdirected:
+            if call.request_id and not head.misdirected:
                 rate = head.rate_limit
                 self._limits.heard(call.endpoint_key, rate, sent_at)
 
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -13,12 +13,6 @@
 from seam_node.ports import wire
 from seam_policy import retry_share
 
-_DEPRIORITIZING_ERRORS = (
-    endpoint_errors.EndpointUnreachable,
-    endpoint_errors.EndpointMisdirected,
-)
-"""Errors after which an endpoint is deprioritized for a while."""
-
 Sent = expression.Result[forwarding.AnswerHead, endpoint_errors.EndpointError]
 
 
@@ -96,7 +90,7 @@
         if isinstance(error, endpoint_errors.EndpointUnreachable):
             ctx.tried.remove(endpoint.key)
             ctx.sends -= 1
-        if isinstance(error, _DEPRIORITIZING_ERRORS):
+        if _is_fault(error):
             until = ctx.now() + call_stats.UNREACHABLE_BACKOFF_S
             self._stats.deprioritize(endpoint.key, until)
         self._log.error(
@@ -110,6 +104,17 @@
         )
 
 
+def _is_fault(error: endpoint_errors.EndpointError) -> bool:
+    """Returns whether to deprioritize the endpoint for a while."""
+    if isinstance(error, endpoint_errors.EndpointUnavailable):
+        return False
+    return isinstance(
+        error,
+        endpoint_errors.EndpointUnreachable
+        | endpoint_errors.EndpointMisdirected,
+    )
+
+
 def _may_have_run(error: endpoint_errors.EndpointError) -> bool:
     return isinstance(
         error, endpoint_errors.EndpointLost | endpoint_errors.AnswerInvalid
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -163,9 +163,7 @@
             async with asyncio.timeout(_attempt_timeout_s(ctx)):
                 options = wire.SendOptions(max(0.0, ctx.remaining_s()))
                 sent = await self._sender.send(ctx, endpoint, options, body)
-            failed = (
-                sent.is_error() or sent.ok.status >= MIN_SERVER_ERROR_STATUS
-            )
+            failed = _is_endpoint_failure(sent)
             return sent
         except TimeoutError:
             return expression.Error(endpoint_errors.EndpointLost(endpoint.id))
@@ -207,6 +205,15 @@
     return has_time and ctx.sends < ctx.route.max_attempts
 
 
+def _is_endpoint_failure(sent: request_sender.Sent) -> bool | None:
+    """Returns whether a call failed; None if it was not sent."""
+    if sent.is_ok():
+        return sent.ok.status >= MIN_SERVER_ERROR_STATUS
+    if isinstance(sent.error, endpoint_errors.EndpointUnavailable):
+        return None
+    return True
+
+
 def _attempt_timeout_s(ctx: context.ForwardContext) -> float:
     """Returns the timeout of an attempt; shorter if a retry may follow.
 
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -79,6 +79,9 @@
             sent = await self._sender.send(
                 ctx, ctx.placement.decode, options, stream_relay
             )
+            if _is_unsent(sent):
+                ctx.hold_used = False
+                return base.fail(sent.error)
         except asyncio.CancelledError:
             waited_s = ctx.now() - started_at
             if ctx.first_byte_at is None and waited_s >= SLOW_FIRST_EVENT_S:
@@ -168,6 +171,13 @@
     return isinstance(sent.error, _ENGINE_FAILURES)
 
 
+def _is_unsent(sent: request_sender.Sent) -> bool:
+    """Returns whether the engine got nothing, as it may get no work."""
+    return sent.is_error() and isinstance(
+        sent.error, endpoint_errors.EndpointUnavailable
+    )
+
+
 def _kv_source(ctx: context.ForwardContext) -> forwarding.KvSource | None:
     if ctx.kv is None:
         return None
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -21,8 +21,13 @@
 the engine is taken for dead."""
 
 
+KV_REUSE_SHARE = 0.6
+"""Share of the time for which a KV cache is kept in which it may be offered to
+another decode engine, which has yet to start fetching it."""
+
+
 class PrefillFilter(base.ForwardFilter):
-    """Prefills the prompt and releases the KV cache if it was not used."""
+    """Prefills the prompt."""
 
     def __init__(
         self,
@@ -48,7 +53,6 @@
         self._engines = engines
         self._places = places
         self._load = load
-        self._releases = access.releases
         self._log = access.log
 
     async def apply(
@@ -56,9 +60,13 @@
     ) -> base.Result:
         """Prefills the prompt, then runs the rest of the chain.
 
-        If no prefill engine is left, or no retry of a prefill, the decode
-        engine computes the KV cache.
+        A KV cache that was computed for a place at another engine is used as
+        long as it is kept. If no prefill engine is left, or no retry of a
+        prefill, the decode engine computes the KV cache.
         """
+        if ctx.kv is not None and ctx.now() < ctx.kv.kept_until:
+            self._report_unneeded(ctx)
+            return await self._decode(ctx, proceed)
         failed: set[str] = set()
         engine = ctx.placement.prefill
         queued_s = ctx.placement.queued_s
@@ -67,7 +75,8 @@
                 break
             done = await self._prefill(ctx, engine, queued_s)
             if done.is_ok():
-                return await self._decode(ctx, done.ok, proceed)
+                ctx.kv = done.ok
+                return await self._decode(ctx, proceed)
             failed.add(engine.key)
             self._log.error(
                 "prefill_failed",
@@ -94,21 +103,21 @@
         return await proceed(ctx)
 
     async def _decode(
-        self,
-        ctx: context.ForwardContext,
-        kv: context.PrefilledKv,
-        proceed: base.Proceed,
+        self, ctx: context.ForwardContext, proceed: base.Proceed
     ) -> base.Result:
-        ctx.kv = kv
+        """Runs the rest of the chain with the KV cache of the context.
+
+        The cache stays in the context if no engine was told of it.
+        """
+        kv = ctx.kv
         try:
             result = await proceed(ctx)
-            self._record_kv_outcome(ctx, kv, result)
-            return result
         finally:
-            ctx.kv = None
-            if not ctx.hold_used:
-                call = self._codec.release_kv_call(kv.endpoint, kv.handle)
-                self._releases.send(kv.endpoint, call)
+            if ctx.hold_used:
+                ctx.kv = None
+        if ctx.hold_used:
+            self._record_kv_outcome(ctx, kv, result)
+        return result
 
     def _record_kv_outcome(
         self,
@@ -186,6 +195,12 @@
             )
         )
 
+    def _report_unneeded(self, ctx: context.ForwardContext) -> None:
+        """Tells the placers that a prompt need not be prefilled again."""
+        engine = ctx.placement.prefill
+        if engine is not None:
+            self._report(ctx, engine, 0.0, 0.0, messages.Outcome.UNKNOWN)
+
     async def _call(
         self,
         ctx: context.ForwardContext,
@@ -203,7 +218,11 @@
             ctx.used_conns,
         )
         if response.is_error():
-            if isinstance(response.error, endpoint_errors.EndpointUnreachable):
+            if _is_unavailable(response.error):
+                ctx.prefills -= 1
+            elif isinstance(
+                response.error, endpoint_errors.EndpointUnreachable
+            ):
                 until = ctx.now() + call_stats.UNREACHABLE_BACKOFF_S
                 self._stats.deprioritize(engine.key, until)
             return expression.Error(response.error)
@@ -212,18 +231,28 @@
             return expression.Error(
                 endpoint_errors.AnswerInvalid(engine.id, "no KV handle")
             )
-        return expression.Ok(context.PrefilledKv(engine, done.handle))
+        ttl_s = ctx.service.engine.handle_ttl_s
+        kept_until = ctx.now() + ttl_s * KV_REUSE_SHARE
+        return expression.Ok(
+            context.PrefilledKv(engine, done.handle, kept_until)
+        )
+
+
+def _is_unavailable(error: endpoint_errors.EndpointError) -> bool:
+    return isinstance(error, endpoint_errors.EndpointUnavailable)
 
 
 def _outcome(
     done: expression.Result[context.PrefilledKv, endpoint_errors.EndpointError]
     | None,
 ) -> messages.Outcome:
-    """Returns how a prefill went; None if it was cancelled."""
+    """Returns how a prefill went; `done` is None if it was cancelled."""
     if done is None:
         return messages.Outcome.UNKNOWN
     if done.is_ok():
         return messages.Outcome.SERVED
+    if _is_unavailable(done.error):
+        return messages.Outcome.UNKNOWN
     if isinstance(done.error, endpoint_errors.EndpointRefused):
         return messages.Outcome.FULL
     return messages.Outcome.FAILED
--- a/packages/seam_node/seam_node/forward/filters/reserve.py
+++ b/packages/seam_node/seam_node/forward/filters/reserve.py
@@ -29,21 +29,32 @@
             ctx.placement = placed.ok
             ctx.outcome = messages.Outcome.UNKNOWN
             result = await self._run(ctx, proceed)
-            if result is not None:
+            if not _is_unavailable(result):
                 return result
 
     async def _run(
         self, ctx: context.ForwardContext, proceed: base.Proceed
-    ) -> base.Result | None:
-        """Runs the request; None if the engine did not hold the place."""
+    ) -> base.Result:
+        """Runs the request at the engine of its place.
+
+        Error: `EndpointUnavailable` if the engine did not hold the place, or
+        may get no work any more; nothing has been sent then.
+        """
         engine = ctx.placement.decode
         try:
             held = await self._holds.take(ctx, engine)
             if held.is_error():
-                ctx.failed_keys.add(engine.key)
                 ctx.outcome = _outcome(held.error)
-                return None
-            return await self._run_held(ctx, held.ok, proceed)
+                result = base.fail(
+                    endpoint_errors.EndpointUnavailable(
+                        engine.id, held.error.code
+                    )
+                )
+            else:
+                result = await self._run_held(ctx, held.ok, proceed)
+            if _is_unavailable(result):
+                ctx.failed_keys.add(engine.key)
+            return result
         finally:
             self._places.end(ctx.placement.number, engine.key, ctx.outcome)
             ctx.placement = None
@@ -67,6 +78,12 @@
                 self._holds.release(engine, hold_id)
 
 
+def _is_unavailable(result: base.Result) -> bool:
+    return result.is_error() and isinstance(
+        result.error, endpoint_errors.EndpointUnavailable
+    )
+
+
 def _outcome(error: endpoint_errors.EndpointError) -> messages.Outcome:
     """Returns what a failed hold tells the placers."""
     if isinstance(error, endpoint_errors.EndpointRefused):
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -20,6 +20,7 @@
 from seam_node.forward.callers import departure
 from seam_node.forward.callers import entry
 from seam_node.forward.callers import handler
+from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import call_stats
 from seam_node.forward.endpoints import connections
 from seam_node.forward.endpoints import endpoint_limits
@@ -259,7 +260,10 @@
         self._conns = connections.Connections()
         self.limits = endpoint_limits.EndpointLimits(self._now, self.log)
         self._client = exchange.EndpointClient(
-            self.ports.wire, self._conns, self.limits
+            self.ports.wire,
+            self._conns,
+            self.limits,
+            availability.Availability(self.endpoints),
         )
         self.releases = release_calls.ReleaseCalls(self._client, self.log)
         self.sender = request_sender.RequestSender(
--- a/packages/seam_node/seam_node/forward/placement/holds.py
+++ b/packages/seam_node/seam_node/forward/placement/holds.py
@@ -9,6 +9,10 @@
 from seam_node.forward.endpoints import engine_access
 from seam_node.forward.endpoints import exchange
 
+_NO_FAULTS = (
+    endpoint_errors.EndpointRefused,
+    endpoint_errors.EndpointUnavailable,
+)
 HOLD_TIMEOUT_S = 0.25
 HELD_OUTPUT_TOKENS = 256
 """Output tokens to hold at the engine in addition to the prompt."""
@@ -39,7 +43,7 @@
         )
         if response.is_ok():
             return expression.Ok(self._codec.decode_hold_id(response.ok))
-        if not isinstance(response.error, endpoint_errors.EndpointRefused):
+        if not isinstance(response.error, _NO_FAULTS):
             until = ctx.now() + call_stats.UNREACHABLE_BACKOFF_S
             self._stats.deprioritize(engine.key, until)
             self._log.error(
--- a/packages/seam_node/seam_node/forward/placement/placement.py
+++ b/packages/seam_node/seam_node/forward/placement/placement.py
@@ -92,9 +92,34 @@
         Errors: `NoEndpoint`, `NoDecodePlace`; the context's `retry_after_s` is
         set then.
         """
-        ask = self._make_ask(ctx)
-        answer, decided_by = await self._ask(ask)
-        ctx.late = answer.late
+        while True:
+            ask = self._make_ask(ctx)
+            answer, decided_by = await self._ask(ask)
+            ctx.late = answer.late
+            if not self._is_unavailable(ctx, answer):
+                return self._result(ctx, ask, answer, decided_by)
+            # The placer does not know yet that the engine is leaving.
+            self.end(ask.number, answer.decode, messages.Outcome.UNKNOWN)
+            if answer.decode in ctx.failed_keys:
+                return expression.Error(errors.NoEndpoint(ctx.service.name))
+            ctx.failed_keys.add(answer.decode)
+
+    def _is_unavailable(
+        self, ctx: context.ForwardContext, answer: messages.PlaceAnswer
+    ) -> bool:
+        """Returns whether a place is at an engine that may get no work."""
+        if answer.state is not messages.PlaceState.GRANTED:
+            return False
+        engine = self._endpoints.by_key(ctx.service.name, answer.decode)
+        return engine is None
+
+    def _result(
+        self,
+        ctx: context.ForwardContext,
+        ask: messages.PlaceAsk,
+        answer: messages.PlaceAnswer,
+        decided_by: str,
+    ) -> Placed:
         if answer.state is messages.PlaceState.NO_ENGINE:
             return expression.Error(errors.NoEndpoint(ctx.service.name))
         if answer.state is not messages.PlaceState.GRANTED:
@@ -105,9 +130,6 @@
         if answer.state is not messages.PlaceState.GRANTED:
             return expression.Error(errors.NoDecodePlace(answer.engines))
         decode = self._endpoints.by_key(ctx.service.name, answer.decode)
-        if decode is None:
-            self.end(ask.number, answer.decode, messages.Outcome.UNKNOWN)
-            return expression.Error(errors.NoEndpoint(ctx.service.name))
         size = kv_forecast.StreamSize(
             ask.prompt_tokens, answer.expected_tokens, ask.max_tokens
         )
--- a/packages/seam_node/seam_node/forward/store/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -128,12 +128,12 @@
                 return each
         return None
 
-    def still_usable(self, endpoint: forwarding.Endpoint) -> bool:
-        """Returns whether this incarnation may still get new work."""
-        current = self._by_id.get(endpoint.id)
+    def still_usable(self, key: str) -> bool:
+        """Returns whether an incarnation is announced and not draining."""
+        current = self._by_id.get(forwarding.endpoint_id(key))
         if current is None or current.draining:
             return False
-        return current.key == endpoint.key
+        return current.key == key
 
     def _apply_change(
         self,
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -152,7 +152,7 @@
         await world.until(
             lambda: world.node.endpoints.usable("calls")[0].started_ms == 2000
         )
-        assert not world.node.endpoints.still_usable(before)
+        assert not world.node.endpoints.still_usable(before.key)
 
     forward_world.run_scenario(scenario)
 
