Pass over a single unreadable object of the store, not the whole answer

Cause: listings and answers of watches were decoded as a whole, and the decoder refuses all of it for one text that is no valid Unicode, one number beyond a double or bytes that are no UTF-8. The answer counted as lost, the store as unreachable, and the old list stayed.

Ruled out: the entry's form (malformed ones that decode were passed over) and the watch (repeated as it should, with the same answer).

--- a/packages/seam_model/seam_model/platform_errors.py
+++ b/packages/seam_model/seam_model/platform_errors.py
@@ -46,6 +46,16 @@
     key: str
 
 
+@attrs.frozen
+class ObjectUnreadable(PlatformError):
+    """The object is there but cannot be decoded."""
+
+    code = "object_unreadable"
+    key: str
+    version: int
+    """Its version; 0 if that cannot be read either."""
+
+
 @attrs.frozen
 class HistoryGone(PlatformError):
     """The store no longer keeps the changes after a revision."""
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -12,6 +12,8 @@
     """Functions that return the current values of the gauges."""
 
     routes_version: Callable[[], float]
+    routes_unreadable: Callable[[], float]
+    """1 while the store has a configuration that could not be decoded."""
     store_age_s: Callable[[], float]
     live_peers: Callable[[], float]
     queued_requests: Callable[[], float]
@@ -32,6 +34,11 @@
             "Version of the configuration in force; 0 if none.",
             sources.routes_version,
         ),
+        (
+            "seam_routes_unreadable",
+            "1 while the newest configuration is unreadable and passed over.",
+            sources.routes_unreadable,
+        ),
         (
             "seam_store_age_seconds",
             "Time since the store last told of endpoints.",
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -365,6 +365,7 @@
             self.metrics,
             forward_gauges.GaugeSources(
                 self._routes_version,
+                lambda: float(self.routes.newest_unreadable),
                 self._endpoints_watch.age_s,
                 lambda: len(self.peers.live()),
                 lambda: len(self.fleet.placer),
--- a/packages/seam_node/seam_node/forward/placement/quarantine_record.py
+++ b/packages/seam_node/seam_node/forward/placement/quarantine_record.py
@@ -93,6 +93,10 @@
         """Passes the stored entries on; None if the store did not answer."""
         got = await self._store.get(KEY)
         if got.is_error():
+            if isinstance(got.error, platform_errors.ObjectUnreadable):
+                self._log.error("quarantine_unreadable", got.error)
+                self._on_read(())
+                return objects.Stored(KEY, got.error.version, b"")
             if not isinstance(got.error, platform_errors.ObjectMissing):
                 return None
             self._on_read(())
--- a/packages/seam_node/seam_node/forward/store/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -20,6 +20,8 @@
         self._log = log
         self._index: route_match.RouteIndex = route_match.RouteIndex(())
         self.table: forwarding.RouteTable | None = None
+        self.newest_unreadable = False
+        """Whether the store has a configuration that could not be decoded."""
         self.on_change: Callable[[forwarding.RouteTable], None] | None = None
         """Called with each configuration that comes into force."""
 
@@ -27,10 +29,13 @@
         """Applies a configuration unless its version is not newer."""
         table = entry.value
         if not isinstance(table, forwarding.RouteTable):
-            self._log.event(
-                "routes_unreadable", "warning", revision=entry.revision
-            )
+            if not self.newest_unreadable:
+                self._log.event(
+                    "routes_unreadable", "warning", revision=entry.revision
+                )
+            self.newest_unreadable = True
             return
+        self.newest_unreadable = False
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
@@ -71,6 +76,8 @@
         self._now = now
         self._memory = announcement_memory.AnnouncementMemory()
         self._by_id: dict[str, forwarding.Endpoint] = {}
+        self._unreadable: dict[str, int] = {}
+        """Revisions of the announcements that could not be decoded."""
         self._usable: dict[str, tuple[forwarding.Endpoint, ...]] = {}
         self.on_ended: Callable[[forwarding.Endpoint], None] | None = None
         """Called with an incarnation that was removed or replaced."""
@@ -91,20 +98,17 @@
         if isinstance(endpoint, forwarding.Endpoint):
             self._by_id[entry.name] = endpoint
             self._memory.note(entry.name, _age(endpoint))
+            self._unreadable.pop(entry.name, None)
         else:
             endpoint = None
-            self._log.event(
-                "endpoint_unreadable",
-                "warning",
-                endpoint=entry.name,
-                revision=entry.revision,
-            )
+            self._note_unreadable(entry)
         if old != endpoint:
             self._apply_change(entry.name, old, endpoint)
 
     def remove(self, name: str) -> None:
         """Removes an endpoint whose announcement was removed."""
         old = self._by_id.pop(name, None)
+        self._unreadable.pop(name, None)
         self._memory.note_left(name, self._now())
         if old is not None:
             self._apply_change(name, old, None)
@@ -135,6 +139,18 @@
             return False
         return current.key == key
 
+    def _note_unreadable(self, entry: catalog.Entry) -> None:
+        """Logs an unreadable announcement, once for each revision."""
+        if self._unreadable.get(entry.name) == entry.revision:
+            return
+        self._unreadable[entry.name] = entry.revision
+        self._log.event(
+            "endpoint_unreadable",
+            "warning",
+            endpoint=entry.name,
+            revision=entry.revision,
+        )
+
     def _apply_change(
         self,
         name: str,
@@ -176,9 +192,11 @@
     entries: dict[str, forwarding.InstanceEntry] = attrs.field(factory=dict)
 
     def put(self, entry: catalog.Entry) -> None:
-        """Adds or replaces an instance's entry."""
+        """Adds or replaces an entry; an unreadable one names no instance."""
         if isinstance(entry.value, forwarding.InstanceEntry):
             self.entries[entry.name] = entry.value
+        else:
+            self.entries.pop(entry.name, None)
 
     def remove(self, name: str) -> None:
         """Removes an instance's entry."""
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -37,6 +37,8 @@
         self.silent = False
         self.page_size = 500
         self.calls: list[str] = []
+        self.raw: dict[bytes, bytes] = {}
+        """What is sent in the place of a text, as it is."""
         self._changed = asyncio.Condition()
 
     def put(self, kind: str, name: str, spec: object) -> dict:
@@ -50,6 +52,12 @@
         self._record_change(kind, False, known[name])
         return known[name]
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Puts an object whose spec is sent as it is, JSON or not."""
+        mark = f"raw-{len(self.raw)}"
+        self.raw[json.dumps(mark).encode()] = spec
+        self.put(kind, name, mark)
+
     def remove(self, kind: str, name: str) -> None:
         self.revision += 1
         self._record_change(kind, True, self.objects[kind].pop(name))
@@ -127,6 +135,14 @@
             self.set_status(status)
             self.finish()
 
+    def write(self, chunk: dict) -> None:
+        """Writes an answer, with the specs that are sent as they are."""
+        body = json.dumps(chunk).encode()
+        for mark, spec in self._store.raw.items():
+            body = body.replace(mark, spec)
+        self.set_header("Content-Type", "application/json")
+        super().write(body)
+
     async def get(self, kind: str, name: str | None = None) -> None:
         store = self._store
         known = store.objects.get(kind, {})
