--- a/packages/seam_node/seam_node/adapters/curl.py
+++ b/packages/seam_node/seam_node/adapters/curl.py
@@ -15,6 +15,7 @@
 
 MAX_CONNECTIONS = 4096
 CONNECT_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_IDLE_S = 10
 """Longest idle time after which a connection is still reused."""
 
@@ -113,16 +114,25 @@
     at_most_once: bool = False,
     reuse: ConnectionReuse | None = None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> Answer:
     """Sends one request and waits for the whole answer.
 
     With `at_most_once`, a new connection is opened: libcurl resends a request
     by itself when a reused connection breaks before the first byte of the
-    answer, which would run a non-idempotent call twice.
+    answer, which would run a non-idempotent call twice. An answer whose body
+    is larger than `max_body_bytes` is none.
     """
     if body is None and method in ("POST", "PUT"):
         body = b""
-    prepare = reuse.prepare if reuse is not None else None
+
+    def prepare(handle: pycurl.Curl) -> None:
+        handle.setopt(pycurl.MAXFILESIZE_LARGE, max_body_bytes)
+        if at_most_once:
+            _use_fresh_connection(handle)
+        elif reuse is not None:
+            reuse.prepare(handle)
+
     req = httpclient.HTTPRequest(
         url,
         method=method,
@@ -132,9 +142,7 @@
         request_timeout=timeout_s,
         follow_redirects=False,
         allow_nonstandard_methods=True,
-        prepare_curl_callback=_use_fresh_connection
-        if at_most_once
-        else prepare,
+        prepare_curl_callback=prepare,
     )
     try:
         resp = await client.fetch(req, raise_error=False)
--- a/tests/seam_platform/test_unreadable_answers.py
+++ b/tests/seam_platform/test_unreadable_answers.py
@@ -202,6 +202,36 @@
     run(scenario)
 
 
+def test_endless_answer_is_cut_off():
+    """Guards against an answer that takes up the memory of an instance."""
+    sent = 0
+
+    async def answer_without_end(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                writer.write(forward_endpoint.chunk(b" " * 2**16))
+                await writer.drain()
+                sent += 2**16
+        except ConnectionError:
+            writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer_without_end, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = store.StoreCatalog(f"http://127.0.0.1:{port}")
+        await client.start()
+        listed = await client.list(catalog.Kind.ENDPOINTS, TIMEOUT_S)
+        await client.close()
+        server.close()
+        assert isinstance(listed.error, platform_errors.PlatformAmbiguous)
+
+    asyncio.run(main())
+    assert sent < 4 * store.MAX_ANSWER_BYTES
+
+
 def test_instance_with_unreadable_objects_in_the_store_works():
     """Guards against streams to endpoints whose leaving was not heard of."""
 
