Send nothing new to an endpoint that says in an answer that it leaves

Cause: the sign in the answers was read nowhere.

Why this works: `availability` hears the head of every answer that is matched with its call, and endpoints that said so are neither chosen nor sent to; the check right before each send covers what waits. Signs are kept by incarnation, so only a new one ends them (docs/decisions/endpoint-signs.md).

The stand-in endpoint can add header fields to each answer; the soak uses that for its rate limits in place of a writer of its own.

--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -258,6 +258,8 @@
     framed: bool = True
     """Whether the body has a length or chunks; otherwise it ends with the
     connection."""
+    leaving: bool = False
+    """Whether the endpoint says that it leaves."""
     rate_limit: float | None = None
     """Requests a second that the endpoint takes from all instances together;
     None if it names no limit."""
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -212,6 +212,7 @@
         sent_at = self._limits.now()
 
         def on_head(head: forwarding.AnswerHead) -> None:
+            self._available.heard(call, head)
             if call.request_id and not head.misdirected:
                 rate = head.rate_limit
                 self._limits.heard(call.endpoint_key, rate, sent_at)
@@ -231,7 +232,8 @@
         stream: sockets.EndpointStream,
         head: forwarding.AnswerHead | None,
     ) -> None:
-        if head is None or head.closing or not stream.is_clean():
+        is_needed = head is not None and not (head.closing or head.leaving)
+        if not is_needed or not stream.is_clean():
             stream.close()
             return
         self._conns.release(address, stream, head.keep_alive_s)
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -24,6 +24,10 @@
     """How often the store came back from a copy."""
     quarantined_prompts: Callable[[], float]
     """Combinations of prompt parts that are kept from engines."""
+    endpoints_leaving: Callable[[], float]
+    """Announced endpoints that said in an answer that they leave."""
+    leaving_heard: Callable[[], float]
+    """Endpoints that said so since the start."""
 
 
 def register(meter: metrics.Metrics, sources: GaugeSources) -> None:
@@ -69,5 +73,15 @@
             "Combinations of prompt parts that are kept from engines.",
             sources.quarantined_prompts,
         ),
+        (
+            "seam_endpoints_leaving",
+            "Announced endpoints that said in an answer that they leave.",
+            sources.endpoints_leaving,
+        ),
+        (
+            "seam_endpoints_leaving_heard",
+            "Endpoints that said that they leave, since the start.",
+            sources.leaving_heard,
+        ),
     ):
         meter.gauge(name, text, value)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -259,11 +259,12 @@
         retries = self.settings.retries
         self._conns = connections.Connections()
         self.limits = endpoint_limits.EndpointLimits(self._now, self.log)
+        self.available = availability.Availability(self.endpoints)
         self._client = exchange.EndpointClient(
             self.ports.wire,
             self._conns,
             self.limits,
-            availability.Availability(self.endpoints),
+            self.available,
         )
         self.releases = release_calls.ReleaseCalls(self._client, self.log)
         self.sender = request_sender.RequestSender(
@@ -372,6 +373,8 @@
                 lambda: self._conns.opened_count,
                 lambda: self._store_link.era,
                 lambda: len(self.fleet.prompts),
+                lambda: len(self.endpoints.leaving_keys()),
+                lambda: self.available.leaving_heard,
             ),
         )
 
--- a/packages/seam_node/seam_node/forward/placement/placement.py
+++ b/packages/seam_node/seam_node/forward/placement/placement.py
@@ -221,7 +221,7 @@
             ctx.route.target_s,
             ctx.route.patience_s,
             self._entry.data_centre,
-            tuple(ctx.failed_keys),
+            tuple(ctx.failed_keys | self._endpoints.leaving_keys()),
             ctx.only_keys(),
             prompt.shared_parts,
         )
--- a/packages/seam_node/seam_node/forward/store/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -9,6 +9,7 @@
 from seam_node.forward.store import catalog_watch
 from seam_node.ports import catalog
 from seam_policy import announcement_memory
+from seam_policy import endpoint_signs
 from seam_policy import route_match
 
 
@@ -70,10 +71,16 @@
 class Endpoints(catalog_watch.ChangeListener):
     """Announced endpoints, by service."""
 
-    def __init__(self, log: logs.Log, now: Callable[[], float]):
-        """Starts empty."""
+    def __init__(
+        self,
+        log: logs.Log,
+        now: Callable[[], float],
+        signs: endpoint_signs.EndpointSigns | None = None,
+    ):
+        """Starts empty; `signs` are what endpoints say in their answers."""
         self._log = log
         self._now = now
+        self._signs = signs or endpoint_signs.EndpointSigns()
         self._memory = announcement_memory.AnnouncementMemory()
         self._by_id: dict[str, forwarding.Endpoint] = {}
         self._unreadable: dict[str, int] = {}
@@ -114,13 +121,13 @@
             self._apply_change(name, old, None)
 
     def usable(self, service: str) -> tuple[forwarding.Endpoint, ...]:
-        """Returns the endpoints of a service that are not draining."""
+        """Returns the endpoints of a service that do not leave."""
         usable = self._usable.get(service)
         if usable is None:
             usable = tuple(
                 each
                 for each in self._by_id.values()
-                if each.service == service and not each.draining
+                if each.service == service and not self._leaves(each)
             )
             self._usable[service] = usable
         return usable
@@ -133,11 +140,42 @@
         return None
 
     def still_usable(self, key: str) -> bool:
-        """Returns whether an incarnation is announced and not draining."""
+        """Returns whether an incarnation is announced and does not leave."""
+        current = self._by_id.get(forwarding.endpoint_id(key))
+        if current is None or current.key != key:
+            return False
+        return not self._leaves(current)
+
+    def heard_leaving(self, key: str, source: str) -> bool:
+        """Records that an endpoint said that it leaves.
+
+        Args:
+            key: key of its incarnation.
+            source: the call whose answer said so.
+
+        Returns whether that is new, and the endpoint is still announced.
+        """
         current = self._by_id.get(forwarding.endpoint_id(key))
-        if current is None or current.draining:
+        if current is None or current.key != key:
+            return False
+        if not self._signs.heard_leaving(key, source, self._now()):
             return False
-        return current.key == key
+        self._usable.clear()
+        self._log.event("endpoint_leaving", endpoint=key, answer_to=source)
+        return True
+
+    def leaving_keys(self) -> set[str]:
+        """Returns the announced endpoints that said that they leave."""
+        return {
+            each.key
+            for each in self._by_id.values()
+            if self._signs.leaving(each.key) is not None
+        }
+
+    def _leaves(self, endpoint: forwarding.Endpoint) -> bool:
+        return (
+            endpoint.draining or self._signs.leaving(endpoint.key) is not None
+        )
 
     def _note_unreadable(self, entry: catalog.Entry) -> None:
         """Logs an unreadable announcement, once for each revision."""
@@ -171,6 +209,9 @@
         if changed_stage and self.on_stage is not None:
             self.on_stage(new)
         ended = old is not None and (new is None or new.key != old.key)
+        if ended and not old.started_ms:
+            # Its next incarnation could not be told from it.
+            self._signs.forget(old.key)
         if ended and self.on_ended is not None:
             self.on_ended(old)
 
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -1,7 +1,6 @@
 """Endpoints of the soak, which misbehave on command and remember all runs."""
 
 import asyncio
-import json
 import time
 
 import attrs
@@ -46,10 +45,8 @@
         self.runs = []
         self.arrivals = []
         """Times of requests, those that were refused included."""
-        self.limit = None
 
     async def _reply(self, received, writer):
-        writer = _Named(writer, self.limit)
         if received.target.startswith("/sycamoreseam/") or received.prefills:
             await forward_endpoint.reply_engine(self, received, writer)
             return
@@ -115,21 +112,3 @@
             writer.write(b"0\r\n\r\n")
             return
         writer.close()
-
-
-class _Named:
-    """A writer that names a rate limit in each answer."""
-
-    def __init__(self, writer, limit):
-        self._writer = writer
-        self._limit = limit
-
-    def write(self, data):
-        if self._limit is not None and data.startswith(b"HTTP/1.1"):
-            first, rest = data.split(b"\r\n", 1)
-            named = f"Server-Limit: {json.dumps(self._limit)}\r\n".encode()
-            data = first + b"\r\n" + named + rest
-        self._writer.write(data)
-
-    def __getattr__(self, name):
-        return getattr(self._writer, name)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import json
 import os
 import random
 import time
@@ -167,10 +168,10 @@
 
     async def script(soak):
         plain = next(b for b in soak.fleet.backends if b.id == "plain-1")
-        plain.limit = LIMIT
+        plain.fields["Server-Limit"] = json.dumps(LIMIT)
         limited_from.append((plain, time.monotonic()))
         await soak.strike((faults.restart,), overlap=False)
-        plain.limit = None
+        del plain.fields["Server-Limit"]
         limited_from.append((plain, time.monotonic()))
 
     soak = Soak(tmp_path, seed)
--- a/tests/standins/forward_endpoint.py
+++ b/tests/standins/forward_endpoint.py
@@ -150,6 +150,24 @@
         writer.write(b"0\r\n\r\n")
 
 
+class _FieldWriter:
+    """A writer that adds header fields to the head of each answer."""
+
+    def __init__(self, writer: asyncio.StreamWriter, fields: dict[str, str]):
+        self._writer = writer
+        self._fields = fields
+
+    def write(self, data: bytes) -> None:
+        if data.startswith(b"HTTP/1.1 ") and self._fields:
+            first, rest = data.split(b"\r\n", 1)
+            lines = [f"{k}: {v}".encode() for k, v in self._fields.items()]
+            data = b"\r\n".join([first, *lines, rest])
+        self._writer.write(data)
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._writer, name)
+
+
 class Endpoint:
     """Listens on loopback and answers through its reply function."""
 
@@ -164,6 +182,8 @@
         self.closed_early = 0
         self.has_crashed = False
         self.connections = 0
+        self.fields: dict[str, str] = {}
+        """Header fields that each answer has besides its own."""
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -220,6 +240,7 @@
     async def _answer(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
+        writer = _FieldWriter(writer, self.fields)
         if received.headers.get("expect-instance", self.id) != self.id:
             writer.write(
                 answer(received, b"", "421 Misdirected Request", Server_Seal="")
