Leave an endpoint alone for the time that it asks for

Cause: Retry-After of endpoints was read nowhere; such a refusal counted as a full engine or a failed call, and the next request went there again.

Why this works: `availability` keeps the end of each pause and is asked when an endpoint is chosen and right before each call. Asks for places name the paused engines, since a pause is between an endpoint and one instance. A pause is no outcome, failure or lost KV cache.

--- a/packages/seam_model/seam_model/endpoint_errors.py
+++ b/packages/seam_model/seam_model/endpoint_errors.py
@@ -95,6 +95,13 @@
     status: int
 
 
+@attrs.frozen
+class EndpointPausing(EndpointRefused):
+    """It did not execute the request and wants nothing for some time."""
+
+    code = "endpoint_pausing"
+
+
 @attrs.frozen
 class EndpointMisdirected(EndpointError):
     """Another incarnation now listens on the endpoint's address."""
--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -367,6 +367,14 @@
     service: str
 
 
+@attrs.frozen
+class EndpointsPausing(SeamError):
+    """No endpoint takes requests now, as each has asked for a pause."""
+
+    code = "endpoints_pausing"
+    service: str
+
+
 @attrs.frozen
 class PromptQuarantined(SeamError):
     """Prompts with these parts crash the engines that decode them."""
--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -260,6 +260,9 @@
     connection."""
     leaving: bool = False
     """Whether the endpoint says that it leaves."""
+    pause_s: float | None = None
+    """Time for which an endpoint that refused wants nothing from this
+    instance; None if it names none."""
     rate_limit: float | None = None
     """Requests a second that the endpoint takes from all instances together;
     None if it names no limit."""
--- a/packages/seam_node/seam_node/forward/chains.py
+++ b/packages/seam_node/seam_node/forward/chains.py
@@ -94,6 +94,7 @@
                 parts.engines.endpoints,
                 parts.engines.stats,
                 parts.limits,
+                parts.engines.available,
                 parts.sender,
                 parts.one_way_delay_s,
             )
--- a/packages/seam_node/seam_node/forward/endpoints/engine_access.py
+++ b/packages/seam_node/seam_node/forward/endpoints/engine_access.py
@@ -3,6 +3,7 @@
 import attrs
 
 from seam_node import logs
+from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import call_stats
 from seam_node.forward.endpoints import endpoint_limits
 from seam_node.forward.endpoints import exchange
@@ -20,5 +21,6 @@
     client: exchange.EndpointClient
     codec: wire.Wire
     limits: endpoint_limits.EndpointLimits
+    available: availability.Availability
     releases: release_calls.ReleaseCalls
     log: logs.Log
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -170,15 +170,17 @@
                 they are not used; the one that is used is added.
         """
         used_conns = set() if used_conns is None else used_conns
+        unavailable = self._available.error(call.endpoint_key, call.is_work)
+        if unavailable is not None:
+            return expression.Error(unavailable)
         acquired = await self._conns.acquire(address, used_conns)
         if acquired.is_error():
             return expression.Error(acquired.error)
         stream = acquired.ok
-        if call.is_work:
-            unavailable = self._available.error(call.endpoint_key)
-            if unavailable is not None:
-                stream.close()
-                return expression.Error(unavailable)
+        unavailable = self._available.error(call.endpoint_key, call.is_work)
+        if unavailable is not None:
+            stream.close()
+            return expression.Error(unavailable)
         used_conns.add(stream.number)
         head = None
         try:
@@ -271,7 +273,14 @@
         return expression.Error(sent.error)
     head = sent.ok
     if not head.success:
-        return expression.Error(
-            endpoint_errors.EndpointRefused(str(address), head.status)
-        )
+        return expression.Error(refusal(str(address), head))
     return expression.Ok(body.body)
+
+
+def refusal(
+    endpoint: str, head: forwarding.AnswerHead
+) -> endpoint_errors.EndpointRefused:
+    """Returns the error for an answer that says that nothing was run."""
+    if head.pause_s:
+        return endpoint_errors.EndpointPausing(endpoint, head.status)
+    return endpoint_errors.EndpointRefused(endpoint, head.status)
--- a/packages/seam_node/seam_node/forward/endpoints/release_calls.py
+++ b/packages/seam_node/seam_node/forward/endpoints/release_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from seam_model import endpoint_errors
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward.endpoints import exchange
@@ -36,7 +37,9 @@
         response = await exchange.call_endpoint(
             self._client, endpoint.address, call, RELEASE_TIMEOUT_S
         )
-        if response.is_error():
+        if response.is_error() and not isinstance(
+            response.error, endpoint_errors.EndpointUnavailable
+        ):
             self._log.error(
                 "release_failed",
                 response.error,
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -131,9 +131,7 @@
             endpoint_errors.EndpointMisdirected(endpoint.id)
         )
     if not head.ran:
-        return expression.Error(
-            endpoint_errors.EndpointRefused(endpoint.id, head.status)
-        )
+        return expression.Error(exchange.refusal(endpoint.id, head))
     if not head.signed:
         return expression.Error(
             endpoint_errors.AnswerInvalid(
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -10,6 +10,7 @@
 from seam_model import errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
+from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import call_stats
 from seam_node.forward.endpoints import endpoint_limits
 from seam_node.forward.endpoints import exchange
@@ -18,6 +19,7 @@
 from seam_node.forward.store import catalog_state
 from seam_node.ports import wire
 from seam_policy import endpoint_choice
+from seam_policy import endpoint_signs
 from seam_policy import retry_after_schedule
 
 ATTEMPT_TIME_SHARE = 0.45
@@ -27,6 +29,10 @@
 DEADLINE_MARGIN_S = 0.02
 """A call cancelled with at most this time left counts as timed out."""
 MIN_SERVER_ERROR_STATUS = 500
+_NO_FAULTS = (
+    endpoint_errors.EndpointUnavailable,
+    endpoint_errors.EndpointPausing,
+)
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_SHARE = 0.33
 """Upper bound of Retry-After, as a share of the call's remaining time."""
@@ -51,6 +57,7 @@
         endpoints: catalog_state.Endpoints,
         stats: call_stats.CallStats,
         limits: endpoint_limits.EndpointLimits,
+        available: availability.Availability,
         sender: request_sender.RequestSender,
         one_way_delay_s: Callable[[str], float],
     ):
@@ -60,12 +67,15 @@
             endpoints: the announced endpoints.
             stats: statistics of the endpoints.
             limits: rate limits of the endpoints.
+            available: the endpoints that pause.
             sender: sends requests and holds the retry budget.
             one_way_delay_s: returns the one-way delay to a data centre.
         """
         self._endpoints = endpoints
         self._stats = stats
         self._limits = limits
+        self._available = available
+        self._pause_returns = endpoint_signs.PauseReturns()
         self._return_times = retry_after_schedule.RetryAfterSchedule(
             MIN_RETRY_AFTER_S
         )
@@ -83,8 +93,7 @@
             usable = self._usable(ctx)
             endpoint = self._choose(ctx, usable)
             if endpoint is None:
-                if usable and not ctx.sends:
-                    error = self._limited_error(ctx, usable)
+                error = self._no_choice_error(ctx, usable, error)
                 return _finish(ctx, last_reply, error)
             if ctx.sends and not self._sender.take_retry(ctx):
                 return _finish(ctx, last_reply, errors.RetryBudgetSpent())
@@ -113,8 +122,11 @@
     ) -> forwarding.Endpoint | None:
         """Returns the best endpoint whose rate limit is not used up."""
         now = ctx.now()
+        pausing = self._available.pausing()
         allowed = [
-            each for each in usable if self._limits.wait_s(each.key) <= 0.0
+            each
+            for each in usable
+            if each.key not in pausing and self._limits.wait_s(each.key) <= 0.0
         ]
         if not allowed:
             return None
@@ -126,6 +138,28 @@
         )
         return by_key[chosen.key]
 
+    def _no_choice_error(
+        self,
+        ctx: context.ForwardContext,
+        usable: list[forwarding.Endpoint],
+        error: errors.SeamError,
+    ) -> errors.SeamError:
+        """Returns why a call fits nowhere now and sets its return time.
+
+        `error` is that of the attempt before, if there was one.
+        """
+        service = self._endpoints.usable(ctx.service.name)
+        pauses_s = [self._available.pause_left_s(each.key) for each in service]
+        if pauses_s and all(pauses_s):
+            ctx.retry_after_s = self._pause_returns.assign(
+                ctx.now(), pauses_s, MAX_RETRY_AFTER_SHARE * ctx.remaining_s()
+            )
+            if not ctx.sends:
+                return errors.EndpointsPausing(ctx.service.name)
+        elif usable and not ctx.sends:
+            return self._limited_error(ctx, usable)
+        return error
+
     def _limited_error(
         self, ctx: context.ForwardContext, usable: list[forwarding.Endpoint]
     ) -> errors.EndpointsLimited:
@@ -206,12 +240,10 @@
 
 
 def _is_endpoint_failure(sent: request_sender.Sent) -> bool | None:
-    """Returns whether a call failed; None if it was not sent."""
+    """Returns whether a call failed; None if that says nothing."""
     if sent.is_ok():
         return sent.ok.status >= MIN_SERVER_ERROR_STATUS
-    if isinstance(sent.error, endpoint_errors.EndpointUnavailable):
-        return None
-    return True
+    return None if isinstance(sent.error, _NO_FAULTS) else True
 
 
 def _attempt_timeout_s(ctx: context.ForwardContext) -> float:
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -90,7 +90,8 @@
         if sent.is_ok() and not stream_relay.is_whole():
             lost = endpoint_errors.EndpointLost(ctx.placement.decode.id)
             sent = expression.Error(lost)
-        self._record(ctx, _is_engine_failure(sent))
+        if not _is_pausing(sent):
+            self._record(ctx, _is_engine_failure(sent))
         if sent.is_error():
             ctx.failed_keys.add(ctx.placement.decode.key)
             ctx.engine_crashed = (
@@ -171,6 +172,13 @@
     return isinstance(sent.error, _ENGINE_FAILURES)
 
 
+def _is_pausing(sent: request_sender.Sent) -> bool:
+    """Returns whether the engine asked for a pause, which is no outcome."""
+    return sent.is_error() and isinstance(
+        sent.error, endpoint_errors.EndpointPausing
+    )
+
+
 def _is_unsent(sent: request_sender.Sent) -> bool:
     """Returns whether the engine got nothing, as it may get no work."""
     return sent.is_error() and isinstance(
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -3,6 +3,7 @@
 import expression
 
 from seam_model import endpoint_errors
+from seam_model import errors
 from seam_model import forwarding
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import call_stats
@@ -21,6 +22,10 @@
 the engine is taken for dead."""
 
 
+_NO_OUTCOMES = (
+    endpoint_errors.EndpointUnavailable,
+    endpoint_errors.EndpointPausing,
+)
 KV_REUSE_SHARE = 0.6
 """Share of the time for which a KV cache is kept in which it may be offered to
 another decode engine, which has yet to start fetching it."""
@@ -47,6 +52,7 @@
             load: told the duration of each prefill.
         """
         self._stats = access.stats
+        self._available = access.available
         self._client = access.client
         self._codec = access.codec
         self._sender = sender
@@ -67,7 +73,7 @@
         if ctx.kv is not None and ctx.now() < ctx.kv.kept_until:
             self._report_unneeded(ctx)
             return await self._decode(ctx, proceed)
-        failed: set[str] = set()
+        failed = self._available.pausing()
         engine = ctx.placement.prefill
         queued_s = ctx.placement.queued_s
         while engine is not None:
@@ -133,7 +139,7 @@
         kv_backoff = self._stats.kv_backoff(kv.endpoint)
         if result.is_ok():
             kv_backoff.record_kv_fetched()
-        elif isinstance(result.error, endpoint_errors.EndpointRefused):
+        elif _is_kv_lost(result.error):
             pause_s = kv_backoff.record_kv_lost()
             self._stats.exclude(kv.endpoint.key, ctx.now() + pause_s)
             self._log.event(
@@ -238,6 +244,13 @@
         )
 
 
+def _is_kv_lost(error: errors.SeamError) -> bool:
+    """Returns whether a decode engine could not fetch the KV cache."""
+    return isinstance(
+        error, endpoint_errors.EndpointRefused
+    ) and not isinstance(error, endpoint_errors.EndpointPausing)
+
+
 def _is_unavailable(error: endpoint_errors.EndpointError) -> bool:
     return isinstance(error, endpoint_errors.EndpointUnavailable)
 
@@ -251,7 +264,7 @@
         return messages.Outcome.UNKNOWN
     if done.is_ok():
         return messages.Outcome.SERVED
-    if _is_unavailable(done.error):
+    if isinstance(done.error, _NO_OUTCOMES):
         return messages.Outcome.UNKNOWN
     if isinstance(done.error, endpoint_errors.EndpointRefused):
         return messages.Outcome.FULL
--- a/packages/seam_node/seam_node/forward/filters/reserve.py
+++ b/packages/seam_node/seam_node/forward/filters/reserve.py
@@ -86,6 +86,8 @@
 
 def _outcome(error: endpoint_errors.EndpointError) -> messages.Outcome:
     """Returns what a failed hold tells the placers."""
+    if isinstance(error, endpoint_errors.EndpointPausing):
+        return messages.Outcome.UNKNOWN
     if isinstance(error, endpoint_errors.EndpointRefused):
         return messages.Outcome.FULL
     if isinstance(error, endpoint_errors.EndpointGone):
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -28,6 +28,10 @@
     """Announced endpoints that said in an answer that they leave."""
     leaving_heard: Callable[[], float]
     """Endpoints that said so since the start."""
+    endpoints_pausing: Callable[[], float]
+    """Endpoints that want nothing from this instance now."""
+    pauses_heard: Callable[[], float]
+    """Pauses that endpoints asked for since the start."""
 
 
 def register(meter: metrics.Metrics, sources: GaugeSources) -> None:
@@ -83,5 +87,15 @@
             "Endpoints that said that they leave, since the start.",
             sources.leaving_heard,
         ),
+        (
+            "seam_endpoints_pausing",
+            "Endpoints that want nothing from this instance now.",
+            sources.endpoints_pausing,
+        ),
+        (
+            "seam_endpoint_pauses_heard",
+            "Pauses that endpoints asked for, since the start.",
+            sources.pauses_heard,
+        ),
     ):
         meter.gauge(name, text, value)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -45,6 +45,7 @@
 from seam_node.ports import catalog
 from seam_node.ports import clock
 from seam_node.ports import wire
+from seam_policy import endpoint_signs
 from seam_policy import retry_share
 from seam_policy import time_bounds
 
@@ -200,7 +201,10 @@
         self._apply_s = store.apply_ms / forward_settings.MS_PER_S
         self._board = feed_board.FeedBoard()
         self.routes = catalog_state.Routes(self.log)
-        self.endpoints = catalog_state.Endpoints(self.log, self._now)
+        self._signs = endpoint_signs.EndpointSigns()
+        self.endpoints = catalog_state.Endpoints(
+            self.log, self._now, self._signs
+        )
         self.stats = call_stats.CallStats()
         self._store_link = store_link.StoreLink(
             self._now,
@@ -259,7 +263,9 @@
         retries = self.settings.retries
         self._conns = connections.Connections()
         self.limits = endpoint_limits.EndpointLimits(self._now, self.log)
-        self.available = availability.Availability(self.endpoints)
+        self.available = availability.Availability(
+            self.endpoints, self._signs, self._now, self.log
+        )
         self._client = exchange.EndpointClient(
             self.ports.wire,
             self._conns,
@@ -283,6 +289,7 @@
             self._client,
             self.ports.wire,
             self.limits,
+            self.available,
             self.releases,
             self.log,
         )
@@ -375,6 +382,8 @@
                 lambda: len(self.fleet.prompts),
                 lambda: len(self.endpoints.leaving_keys()),
                 lambda: self.available.leaving_heard,
+                lambda: len(self.available.pausing()),
+                lambda: self.available.pauses_heard,
             ),
         )
 
--- a/packages/seam_node/seam_node/forward/placement/fleet_placement.py
+++ b/packages/seam_node/seam_node/forward/placement/fleet_placement.py
@@ -107,6 +107,7 @@
             self.placer,
             self.ledger,
             access.endpoints,
+            access.available,
             self.outcomes,
             fleet.send,
             now,
--- a/packages/seam_node/seam_node/forward/placement/placement.py
+++ b/packages/seam_node/seam_node/forward/placement/placement.py
@@ -15,11 +15,13 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward.callers import context
+from seam_node.forward.endpoints import availability
 from seam_node.forward.fleet import coordinators
 from seam_node.forward.fleet import messages
 from seam_node.forward.placement import engine_outcomes
 from seam_node.forward.placement import placer
 from seam_node.forward.store import catalog_state
+from seam_policy import endpoint_signs
 from seam_policy import kv_forecast
 from seam_policy import stream_ledger
 
@@ -27,6 +29,8 @@
 """Time for an answer; only a queued request takes longer, after a notice."""
 QUEUED_TIMEOUT_S = 0.3
 """Interval at which an ask that is queued is repeated."""
+RETRY_ELSEWHERE_S = 0.02
+"""Retry-After of a request whose next attempt finds free engines."""
 MAX_SENDS = 2
 """Unanswered sends after which a coordinator is suspected."""
 
@@ -53,6 +57,7 @@
         own_placer: placer.Placer,
         ledger: stream_ledger.StreamLedger,
         endpoints: catalog_state.Endpoints,
+        available: availability.Availability,
         outcomes: engine_outcomes.EngineOutcomes,
         send: Send,
         now: Callable[[], float],
@@ -67,6 +72,7 @@
                 coordinator answers.
             ledger: the streams known to this instance, its own included.
             endpoints: the announced endpoints.
+            available: which of them may get calls.
             outcomes: records how engines do.
             send: sends a message to an instance.
             now: the clock.
@@ -77,6 +83,8 @@
         self._placer = own_placer
         self._ledger = ledger
         self._endpoints = endpoints
+        self._available = available
+        self._pause_returns = endpoint_signs.PauseReturns()
         self._outcomes = outcomes
         self._send = send
         self._now = now
@@ -93,6 +101,9 @@
         set then.
         """
         while True:
+            if self._all_pause(ctx):
+                pausing = errors.EndpointsPausing(ctx.service.name)
+                return expression.Error(pausing)
             ask = self._make_ask(ctx)
             answer, decided_by = await self._ask(ask)
             ctx.late = answer.late
@@ -104,14 +115,37 @@
                 return expression.Error(errors.NoEndpoint(ctx.service.name))
             ctx.failed_keys.add(answer.decode)
 
+    def _all_pause(self, ctx: context.ForwardContext) -> bool:
+        """Returns whether all engines for a request pause.
+
+        Its return time is set then: soon if engines that only another attempt
+        may use do not pause.
+        """
+        engines = [
+            each.key
+            for each in self._endpoints.usable(ctx.service.name)
+            if each.stage is forwarding.Stage.DECODE
+        ]
+        pausing = self._available.pausing()
+        if not pausing.issuperset(ctx.only_keys() or engines) or not engines:
+            return False
+        if pausing.issuperset(engines):
+            ctx.retry_after_s = self._pause_returns.assign(
+                self._now(),
+                [self._available.pause_left_s(key) for key in engines],
+                placer.MAX_RETRY_AFTER_SHARE * ctx.remaining_s(),
+            )
+        else:
+            ctx.retry_after_s = RETRY_ELSEWHERE_S
+        return True
+
     def _is_unavailable(
         self, ctx: context.ForwardContext, answer: messages.PlaceAnswer
     ) -> bool:
         """Returns whether a place is at an engine that may get no work."""
         if answer.state is not messages.PlaceState.GRANTED:
             return False
-        engine = self._endpoints.by_key(ctx.service.name, answer.decode)
-        return engine is None
+        return self._available.error(answer.decode) is not None
 
     def _result(
         self,
@@ -221,7 +255,7 @@
             ctx.route.target_s,
             ctx.route.patience_s,
             self._entry.data_centre,
-            tuple(ctx.failed_keys | self._endpoints.leaving_keys()),
+            tuple(ctx.failed_keys | self._available.avoided()),
             ctx.only_keys(),
             prompt.shared_parts,
         )
--- a/packages/seam_node/seam_node/forward/placement/stages.py
+++ b/packages/seam_node/seam_node/forward/placement/stages.py
@@ -24,6 +24,10 @@
 from seam_policy import stage_balance
 
 CHECK_INTERVAL_S = 0.5
+_NOT_ACCEPTED = (
+    endpoint_errors.EndpointRefused,
+    endpoint_errors.EndpointUnavailable,
+)
 ORDER_TIMEOUT_S = 1.0
 STAGE_CHANGE_MAX_S = 14.0
 """Longest time an engine needs to finish its streams and change its stage."""
@@ -82,6 +86,7 @@
         self._routes = routes
         self._endpoints = access.endpoints
         self._stats = access.stats
+        self._available = access.available
         self._load = load
         self._client = access.client
         self._codec = access.codec
@@ -215,7 +220,10 @@
             else (decode, forwarding.Stage.PREFILL)
         )
         candidates = [
-            each for each in donors if each.key not in self._accepted_orders
+            each
+            for each in donors
+            if each.key not in self._accepted_orders
+            and self._available.error(each.key) is None
         ]
         return (
             _StageChange(_engine_in_largest_data_centre(candidates), stage)
@@ -282,7 +290,7 @@
                 change.stage, until
             )
             self._next_order_at = self._now()
-        elif isinstance(done.error, endpoint_errors.EndpointRefused):
+        elif isinstance(done.error, _NOT_ACCEPTED):
             self._stats.include(change.endpoint.key)
         self._log.event(
             "stage_ordered",
--- a/packages/seam_node/seam_node/forward/store/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -141,10 +141,11 @@
 
     def still_usable(self, key: str) -> bool:
         """Returns whether an incarnation is announced and does not leave."""
-        current = self._by_id.get(forwarding.endpoint_id(key))
-        if current is None or current.key != key:
-            return False
-        return not self._leaves(current)
+        return self.is_known(key) and not self._leaves(self._current(key))
+
+    def is_known(self, key: str) -> bool:
+        """Returns whether an incarnation is announced, leaving or not."""
+        return self._current(key) is not None
 
     def heard_leaving(self, key: str, source: str) -> bool:
         """Records that an endpoint said that it leaves.
@@ -155,8 +156,7 @@
 
         Returns whether that is new, and the endpoint is still announced.
         """
-        current = self._by_id.get(forwarding.endpoint_id(key))
-        if current is None or current.key != key:
+        if not self.is_known(key):
             return False
         if not self._signs.heard_leaving(key, source, self._now()):
             return False
@@ -172,6 +172,10 @@
             if self._signs.leaving(each.key) is not None
         }
 
+    def _current(self, key: str) -> forwarding.Endpoint | None:
+        found = self._by_id.get(forwarding.endpoint_id(key))
+        return found if found is not None and found.key == key else None
+
     def _leaves(self, endpoint: forwarding.Endpoint) -> bool:
         return (
             endpoint.draining or self._signs.leaving(endpoint.key) is not None
--- a/tests/standins/placement_world.py
+++ b/tests/standins/placement_world.py
@@ -9,6 +9,7 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node.forward.callers import context
+from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import call_stats
 from seam_node.forward.endpoints import endpoint_limits
 from seam_node.forward.endpoints import engine_access
@@ -19,6 +20,7 @@
 from seam_node.forward.placement import workload
 from seam_node.forward.store import catalog_state
 from seam_node.ports import catalog
+from seam_policy import endpoint_signs
 from standins import forward_heartbeats
 from standins import memory_store
 from standins import virtual_loop
@@ -98,7 +100,11 @@
         self.capacity = capacity
         self.events: list[str] = []
         now, log = world.now, logs.Log(name)
-        self.endpoints = catalog_state.Endpoints(log, now)
+        signs = endpoint_signs.EndpointSigns()
+        self.endpoints = catalog_state.Endpoints(log, now, signs)
+        self.available = availability.Availability(
+            self.endpoints, signs, now, log
+        )
         for each in world.engines:
             self.endpoints.put(catalog.Entry(each.id, 1, each))
         self.stats = call_stats.CallStats()
@@ -109,6 +115,7 @@
             _EngineClient(world),
             None,
             self.limits,
+            self.available,
             None,
             log,
         )
