Hold a request's body once, and no longer than it may be sent again

Cause: each body was held as the pieces in which it came and joined, copied once more as it was written to an engine, and kept until the answer had ended.

Why this works: pieces are dropped as they are joined; a large body is written by itself, so it is not copied; the client for endpoints drops it once written; and a stream that may run once lets it go with the engine's head. What may be sent again keeps its one copy. Nothing bounds the sum of all bodies yet.

--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -95,10 +95,10 @@
         self.arrived_at = arrived_at
         self.chunks: list[bytes] = []
 
-    @property
-    def body(self) -> bytes:
-        """The body received so far."""
-        return b"".join(self.chunks)
+    def take_body(self) -> bytes:
+        """Returns the body and keeps none of it."""
+        chunks, self.chunks = self.chunks, []
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
 Handler = Callable[[RawRequest, ConnectionAnswer], Awaitable[None]]
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -160,6 +160,10 @@
         tried = set(self.tried)
         return tuple(tried) if len(tried) >= self.route.max_attempts else ()
 
+    def release_body(self) -> None:
+        """Lets the body go, as the request will not be sent again."""
+        self.req = attrs.evolve(self.req, body=b"")
+
     def apply_start_limit(self) -> None:
         """Limits the time to send the request, as its state has changed."""
         if self.start_limit is not None:
--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -61,7 +61,9 @@
         connection. A request that is cancelled though its caller is there, as
         the instance exits, is refused.
         """
-        parsed = self._codec.decode_request(raw.start, raw.headers, raw.body)
+        parsed = self._codec.decode_request(
+            raw.start, raw.headers, raw.take_body()
+        )
         if parsed.is_error():
             self._send_refusal(answer, parsed.error, may_have_run=False)
             self._log.error("request_unreadable", parsed.error)
@@ -69,6 +71,8 @@
         ctx = context.ForwardContext(
             parsed.ok, answer, raw.arrived_at, self._now
         )
+        # The context alone holds the body, which may be large.
+        del parsed
         error: errors.SeamError | None = errors.CallerGone()
         try:
             result = await self._chain.run(ctx)
--- a/packages/seam_node/seam_node/forward/callers/relay.py
+++ b/packages/seam_node/seam_node/forward/callers/relay.py
@@ -35,6 +35,8 @@
         if not self._should_stream():
             return
         ctx = self._ctx
+        if not ctx.route.may_retry():
+            ctx.release_body()
         if not ctx.answer.started:
             ctx.status = head.status
             ctx.answer.start(head)
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import attrs
 import expression
 from tornado import http1connection
 from tornado import httputil
@@ -25,6 +26,9 @@
 """Size of a body that is collected before it is used. An endpoint may send
 without end, and an instance has little memory."""
 
+MAX_JOINED_BODY_BYTES = 16 * 1024
+"""Size of a body that is written together with its head, which copies it."""
+
 _PARAMS = http1connection.HTTP1ConnectionParameters(
     max_header_size=64 * 1024, max_body_size=64 * 1024 * 1024
 )
@@ -184,7 +188,10 @@
         used_conns.add(stream.number)
         head = None
         try:
-            head = await self._exchange(stream, call, receiver)
+            conn = _write(stream, call)
+            # The body may be large, and is not needed any more here.
+            call = attrs.evolve(call, body=b"")
+            head = await self._read(conn, stream, call, receiver)
         except iostream.StreamClosedError:
             head = None
         finally:
@@ -197,20 +204,14 @@
         """Returns whether nothing listens at an address any more."""
         return await self._conns.is_refused(address)
 
-    async def _exchange(
+    async def _read(
         self,
+        conn: http1connection.HTTP1Connection,
         stream: sockets.EndpointStream,
         call: forwarding.EndpointCall,
         receiver: Receiver,
     ) -> forwarding.AnswerHead | None:
-        conn = http1connection.HTTP1Connection(stream, True, _PARAMS)
-        conn.write_headers(
-            httputil.RequestStartLine(call.method, call.target, "HTTP/1.1"),
-            _headers(call),
-            call.body or None,
-        )
-        conn.finish()
-
+        """Reads the answer to a call; None if there is no complete one."""
         sent_at = self._limits.now()
 
         def on_head(head: forwarding.AnswerHead) -> None:
@@ -241,6 +242,22 @@
         self._conns.release(address, stream, head.keep_alive_s)
 
 
+def _write(
+    stream: sockets.EndpointStream, call: forwarding.EndpointCall
+) -> http1connection.HTTP1Connection:
+    """Starts to write a call."""
+    conn = http1connection.HTTP1Connection(stream, True, _PARAMS)
+    start = httputil.RequestStartLine(call.method, call.target, "HTTP/1.1")
+    is_large = len(call.body) > MAX_JOINED_BODY_BYTES
+    first = None if is_large else call.body or None
+    conn.write_headers(start, _headers(call), first)
+    if is_large:
+        stream.set_nodelay(True)
+        conn.write(call.body)
+    conn.finish()
+    return conn
+
+
 def _headers(call: forwarding.EndpointCall) -> httputil.HTTPHeaders:
     headers = httputil.HTTPHeaders()
     for each in call.fields:
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -68,11 +68,15 @@
         ctx.record_sent(endpoint.key)
         if ctx.sends == 1:
             self._budget.record_request(ctx.service.name, ctx.now())
-        call = self._codec.forward_call(ctx.req, endpoint, options)
         ctx.reached_endpoint = True
         ctx.apply_start_limit()
         sent = await self._client.send(
-            endpoint.address, call, receiver, ctx.used_conns
+            endpoint.address,
+            # Kept by no name here: its body may be let go before the answer
+            # ends.
+            self._codec.forward_call(ctx.req, endpoint, options),
+            receiver,
+            ctx.used_conns,
         )
         result = _check_answer(endpoint, sent)
         if result.is_error():
