Bound the bytes of bodies by the memory of the process

Callers would see: an instance killed for its memory, with all its streams, by enough bodies within the configured limit; small requests lost with large ones.

Cause: the configuration bounds one body only, and nothing bounded their sum; the memory limit of the platform's settings was not read.

The tests measure what is held, with two large bodies and the room for them. The parts of this have no tests that could run before: the bound was not there.

Why this works: the bodies may take what 85% of the limit leaves beside the private memory of the process, which is measured each second. A large body is counted before it is read; without room it is not read for up to 0.45 s, small ones first, and then refused with a true 503 and a Retry-After of its own, while what still comes is dropped and the connection goes on. A tenth of the room is for small bodies alone. A body that takes over 20 s to arrive ends its connection. Bodies in chunks are counted as they come.

--- a/packages/seam_model/seam_model/errors.py
+++ b/packages/seam_model/seam_model/errors.py
@@ -367,6 +367,13 @@
     service: str
 
 
+@attrs.frozen
+class MemorySpent(SeamError):
+    """The instance has no memory for the request's body now."""
+
+    code = "memory_spent"
+
+
 @attrs.frozen
 class EndpointsPausing(SeamError):
     """No endpoint takes requests now, as each has asked for a pause."""
--- a/packages/seam_model/seam_model/forward_settings.py
+++ b/packages/seam_model/seam_model/forward_settings.py
@@ -13,6 +13,7 @@
 _ADDRESS_PATTERN = r"[0-9.]+:[0-9]{1,5}"
 _ADDRESS_ALLOWED = "an IPv4 address and a port, as host:port"
 _LEVELS = "debug|info|warning|error"
+BYTES_PER_MB = 1_000_000
 MS_PER_S = 1000.0
 DEFAULTS = "defaults_forward.toml"
 MIN_GRACE_S = 0.5
@@ -45,12 +46,18 @@
 
 @attrs.frozen
 class CapacitySettings:
-    """Processor capacity of this instance."""
+    """Processor and memory of this instance."""
 
     core_share: float = toml_check.checked_field(above=0, high=1024)
     """Share of a core that the process may use."""
     core_speed: float = toml_check.checked_field(above=0, high=1024)
     """Speed of that core, relative to the slowest kind."""
+    memory_mb: float = toml_check.checked_field(above=0, high=2**20)
+    """Private memory beyond which the process is killed."""
+
+    def memory_bytes(self) -> int:
+        """Returns the private memory beyond which the process is killed."""
+        return int(self.memory_mb * BYTES_PER_MB)
 
     def cores(self) -> float:
         """Returns the capacity, relative to one core of the slowest kind."""
--- /dev/null
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -0,0 +1,140 @@
+"""Bounds the bytes that an instance holds for its callers."""
+
+import asyncio
+import bisect
+from collections.abc import Callable
+import itertools
+
+import attrs
+
+from seam_policy import memory_budget
+
+MEASURE_INTERVAL_S = 1.0
+ROOM_WAIT_S = 0.45
+"""Longest time for which a body is not read. Callers give a request up that is
+not read for a second, or a third of their time."""
+
+
+@attrs.define(order=True)
+class _Waiting:
+    size: int
+    number: int
+    admitted: asyncio.Future = attrs.field(order=False)
+
+
+class CallerMemory:
+    """Admits bodies while there is memory for them, the small ones first."""
+
+    def __init__(
+        self,
+        budget: memory_budget.MemoryBudget,
+        measure: Callable[[], int | None],
+    ):
+        """Creates an empty memory.
+
+        Args:
+            budget: decides what fits.
+            measure: returns the private memory of the process in bytes, or
+                None if it is unknown.
+        """
+        self._budget = budget
+        self._measure = measure
+        self._waiting: list[_Waiting] = []
+        self._numbers = itertools.count()
+        self._task: asyncio.Task | None = None
+        self.refused = 0
+        """Requests that were refused for want of memory, since the start."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of bodies that are held now."""
+        return self._budget.held_bytes
+
+    async def start(self) -> None:
+        """Starts to measure the process."""
+        self._task = asyncio.ensure_future(self._measure_often())
+
+    async def close(self) -> None:
+        """Stops measuring."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def take(self, size: int) -> bool:
+        """Takes memory for a body, or more of one, if there is room."""
+        if not self._budget.fits(size):
+            return False
+        self._budget.take(size)
+        return True
+
+    async def take_soon(self, size: int) -> bool:
+        """Takes memory once there is room; returns whether there was in time.
+
+        Cancellation takes nothing.
+        """
+        if self.take(size):
+            return True
+        if not self._budget.can_ever_fit(size):
+            return False
+        admitted = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(size, next(self._numbers), admitted)
+        bisect.insort(self._waiting, waiting)
+        try:
+            async with asyncio.timeout(ROOM_WAIT_S):
+                await admitted
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            if admitted.done() and not admitted.cancelled():
+                self.release(size)
+            raise
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+        return True
+
+    def release(self, size: int) -> None:
+        """Gives memory back and admits those that wait for it."""
+        self._budget.release(size)
+        self._admit()
+
+    def _admit(self) -> None:
+        while self._waiting and self.take(self._waiting[0].size):
+            self._waiting.pop(0).admitted.set_result(None)
+
+    async def _measure_often(self) -> None:
+        while True:
+            private_bytes = self._measure()
+            if private_bytes is not None:
+                self._budget.note_private(private_bytes)
+                self._admit()
+            await asyncio.sleep(MEASURE_INTERVAL_S)
+
+
+class BodyHold:
+    """The memory that one request's body takes."""
+
+    def __init__(self, memory: CallerMemory):
+        """Holds nothing yet."""
+        self._memory = memory
+        self._bytes = 0
+
+    async def take_soon(self, size: int) -> bool:
+        """Takes more memory; returns whether there was room in time."""
+        if not await self._memory.take_soon(size):
+            return False
+        self._bytes += size
+        return True
+
+    def take(self, size: int) -> bool:
+        """Takes more memory if there is room at once."""
+        if not self._memory.take(size):
+            return False
+        self._bytes += size
+        return True
+
+    def release(self) -> None:
+        """Gives all of it back."""
+        size, self._bytes = self._bytes, 0
+        if size:
+            self._memory.release(size)
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -11,9 +11,12 @@
 from tornado import iostream
 
 from seam_model import forwarding
+from seam_node.forward.callers import caller_memory
 from seam_node.forward.callers import context
 
 CHUNK_BYTES = 64 * 1024
+MAX_BODY_S = 20.0
+"""Longest time in which a body arrives; no caller waits longer."""
 
 
 class ConnectionAnswer(context.CallerAnswer):
@@ -62,12 +65,25 @@
         body: bytes,
     ) -> None:
         """Sends a complete answer."""
+        self.send_early(status, reason, fields, body)
+        self.finish()
+
+    def send_early(
+        self,
+        status: int,
+        reason: str,
+        fields: tuple[forwarding.HeaderField, ...],
+        body: bytes = b"",
+    ) -> None:
+        """Sends an answer before the request was read to its end.
+
+        `finish` has to follow when it was read.
+        """
         self._started = True
         headers = _headers(fields)
         headers["Content-Length"] = str(len(body))
         start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
         _ignore_closed(self._conn.write_headers(start, headers, body or None))
-        self.finish()
 
     @property
     def connected(self) -> bool:
@@ -88,8 +104,10 @@
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         arrived_at: float,
+        hold: caller_memory.BodyHold,
     ):
-        """Takes the head of a request and its arrival time."""
+        """Takes the head of a request, its arrival time and its memory."""
+        self.hold = hold
         self.start = start
         self.headers = headers
         self.arrived_at = arrived_at
@@ -102,6 +120,7 @@
 
 
 Handler = Callable[[RawRequest, ConnectionAnswer], Awaitable[None]]
+Refuse = Callable[[ConnectionAnswer], None]
 
 
 class _Incoming(httputil.HTTPMessageDelegate):
@@ -114,37 +133,76 @@
     ):
         self._server = caller_server
         self._conn = conn
+        self._answer = ConnectionAnswer(conn)
         self._request: RawRequest | None = None
         self._task: asyncio.Task | None = None
+        self._refused = False
+        """Whether there was no memory; the body is then dropped as it comes."""
+        self._is_sized = False
+        """Whether the body's length is known and has been taken."""
 
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> None:
-        self._request = RawRequest(start_line, headers, self._server.now())
-
-    def data_received(self, chunk: bytes) -> None:
-        self._request.chunks.append(chunk)
+    ) -> Awaitable[None] | None:
+        hold = caller_memory.BodyHold(self._server.memory)
+        self._request = RawRequest(
+            start_line, headers, self._server.now(), hold
+        )
+        size = int(headers.get("Content-Length", 0))
+        self._is_sized = size > 0
+        if not size or hold.take(size):
+            return None
+        return self._admit(size)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._refused:
+            return None
+        if self._is_sized or self._request.hold.take(len(chunk)):
+            self._request.chunks.append(chunk)
+            return None
+        return self._admit(len(chunk), chunk)
 
     def finish(self) -> None:
+        if self._refused:
+            self._answer.finish()
+            return
         self._task = asyncio.ensure_future(self._run())
         self._server.running.add(self._task)
         self._task.add_done_callback(self._server.running.discard)
         self._conn.set_close_callback(self._on_disconnect)
 
     def on_connection_close(self) -> None:
+        self._request.hold.release()
         self._on_disconnect()
 
+    async def _admit(self, size: int, chunk: bytes = b"") -> None:
+        """Reads no further until there is memory, or refuses the request."""
+        hold = self._request.hold
+        if await hold.take_soon(size):
+            if chunk:
+                self._request.chunks.append(chunk)
+            return
+        self._refused = True
+        self._request.chunks.clear()
+        hold.release()
+        self._server.memory.refused += 1
+        self._server.refuse(self._answer)
+        if "Expect" in self._request.headers:
+            # The caller waits for a word before it sends the body.
+            self._answer.finish()
+
     def _on_disconnect(self) -> None:
         if self._task is not None:
             self._task.cancel()
 
     async def _run(self) -> None:
-        answer = ConnectionAnswer(self._conn)
+        answer = self._answer
         try:
             await self._server.handler(self._request, answer)
         finally:
+            self._request.hold.release()
             if not answer.ended:
                 answer.abort()
 
@@ -155,6 +213,8 @@
     def __init__(
         self,
         handler: Handler,
+        refuse: Refuse,
+        memory: caller_memory.CallerMemory,
         now: Callable[[], float],
         limits: forwarding.CallerLimits,
     ):
@@ -162,10 +222,14 @@
 
         Args:
             handler: handles each request.
+            refuse: starts the answer to a request without memory for it.
+            memory: admits the bodies.
             now: the clock for arrival times.
             limits: initial limits on requests.
         """
         self.handler = handler
+        self.refuse = refuse
+        self.memory = memory
         self.now = now
         self.running: set[asyncio.Task] = set()
         self._server = httpserver.HTTPServer(
@@ -174,6 +238,7 @@
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
             chunk_size=CHUNK_BYTES,
+            body_timeout=MAX_BODY_S,
         )
 
     def start_request(
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -92,6 +92,8 @@
     arrived_at: float
     """Arrival time on a monotonic clock that includes suspended time."""
     now: Callable[[], float]
+    on_body_released: Callable[[], None] | None = None
+    """Called when the body is let go before the request ends."""
     table: forwarding.RouteTable | None = None
     route: forwarding.Route | None = None
     service: forwarding.ServiceSpec | None = None
@@ -163,6 +165,8 @@
     def release_body(self) -> None:
         """Lets the body go, as the request will not be sent again."""
         self.req = attrs.evolve(self.req, body=b"")
+        if self.on_body_released is not None:
+            self.on_body_released()
 
     def apply_start_limit(self) -> None:
         """Limits the time to send the request, as its state has changed."""
--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -13,7 +13,12 @@
 from seam_node.forward.callers import context
 from seam_node.forward.callers import refusals
 from seam_node.ports import wire
+from seam_policy import retry_after_schedule
 
+MIN_MEMORY_RETRY_S = 0.1
+MAX_MEMORY_RETRY_S = 1.0
+MEMORY_RETRY_STEP_S = 0.05
+"""Time in which some large body is let go."""
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt that a log line names."""
 
@@ -43,6 +48,9 @@
             log: where outcomes are logged.
         """
         self._instance = instance
+        self._return_times = retry_after_schedule.RetryAfterSchedule(
+            MIN_MEMORY_RETRY_S
+        )
         self._codec = codec
         self._chain = filters
         self._store_age_s = store_age_s
@@ -69,7 +77,11 @@
             self._log.error("request_unreadable", parsed.error)
             return
         ctx = context.ForwardContext(
-            parsed.ok, answer, raw.arrived_at, self._now
+            parsed.ok,
+            answer,
+            raw.arrived_at,
+            self._now,
+            on_body_released=raw.hold.release,
         )
         # The context alone holds the body, which may be large.
         del parsed
@@ -90,6 +102,21 @@
                 self._finish_failed(ctx, answer, error)
             self._record_end(ctx, error)
 
+    def refuse_for_memory(self, answer: caller_server.ConnectionAnswer) -> None:
+        """Starts to answer a request that there is no memory for."""
+        retry_after_s = self._return_times.assign(
+            self._now(), MEMORY_RETRY_STEP_S, MAX_MEMORY_RETRY_S
+        )
+        refusal = refusals.refusal_for(errors.MemorySpent(), False)
+        self._log.event(
+            "request_refused_unread", retry_after_s=round(retry_after_s, 3)
+        )
+        answer.send_early(
+            refusal.status.value,
+            refusal.status.phrase,
+            (self._codec.retry_after_field(retry_after_s),),
+        )
+
     def _finish_failed(
         self,
         ctx: context.ForwardContext,
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -32,6 +32,10 @@
     """Endpoints that want nothing from this instance now."""
     pauses_heard: Callable[[], float]
     """Pauses that endpoints asked for since the start."""
+    held_bytes: Callable[[], float]
+    """Bytes of callers' bodies that are held now."""
+    refused_for_memory: Callable[[], float]
+    """Requests refused for want of memory since the start."""
 
 
 def register(meter: metrics.Metrics, sources: GaugeSources) -> None:
@@ -97,5 +101,15 @@
             "Pauses that endpoints asked for, since the start.",
             sources.pauses_heard,
         ),
+        (
+            "seam_caller_bytes_held",
+            "Bytes of callers' bodies that are held now.",
+            sources.held_bytes,
+        ),
+        (
+            "seam_requests_refused_for_memory",
+            "Requests refused for want of memory, since the start.",
+            sources.refused_for_memory,
+        ),
     ):
         meter.gauge(name, text, value)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -12,10 +12,12 @@
 from seam_node import logs
 from seam_node import metrics
 from seam_node import task
+from seam_node.adapters import process_memory
 from seam_node.controllers import lease
 from seam_node.forward import chains
 from seam_node.forward import forward_gauges
 from seam_node.forward import suspend_watch
+from seam_node.forward.callers import caller_memory
 from seam_node.forward.callers import caller_server
 from seam_node.forward.callers import departure
 from seam_node.forward.callers import entry
@@ -46,6 +48,7 @@
 from seam_node.ports import clock
 from seam_node.ports import wire
 from seam_policy import endpoint_signs
+from seam_policy import memory_budget
 from seam_policy import retry_share
 from seam_policy import time_bounds
 
@@ -113,8 +116,16 @@
             meter,
             log,
         )
+        self.memory = caller_memory.CallerMemory(
+            memory_budget.MemoryBudget(settings.capacity.memory_bytes()),
+            process_memory.private_bytes,
+        )
         self.caller_server = caller_server.CallerServer(
-            self._handler.handle, self._now, _INITIAL_CALLER_LIMITS
+            self._handler.handle,
+            self._handler.refuse_for_memory,
+            self.memory,
+            self._now,
+            _INITIAL_CALLER_LIMITS,
         )
         self.routes.on_change = self._on_routes
         self._register_gauges()
@@ -132,7 +143,12 @@
             self._close_expired_connections()
         )
         self._announcer.announce()
-        self.log.event("instance_started", data_centre=self.entry.data_centre)
+        self.log.event(
+            "instance_started",
+            data_centre=self.entry.data_centre,
+            memory_mb=self.settings.capacity.memory_mb,
+            private_bytes=process_memory.private_bytes(),
+        )
 
     async def close(self) -> None:
         """Closes the controllers and all connections."""
@@ -384,6 +400,8 @@
                 lambda: self.available.leaving_heard,
                 lambda: len(self.available.pausing()),
                 lambda: self.available.pauses_heard,
+                lambda: self.memory.held_bytes,
+                lambda: self.memory.refused,
             ),
         )
 
@@ -405,6 +423,7 @@
 
     def _controllers(self) -> tuple:
         return (
+            self.memory,
             self._port,
             self._routes_watch,
             self._endpoints_watch,
--- /dev/null
+++ b/tests/seam_policy/test_memory_budget.py
@@ -0,0 +1,47 @@
+"""What the memory of an instance leaves for bodies."""
+
+from seam_policy import memory_budget
+
+MB = 1024 * 1024
+
+
+def make(limit_mb=150, private_mb=48):
+    budget = memory_budget.MemoryBudget(limit_mb * MB)
+    budget.note_private(private_mb * MB)
+    return budget
+
+
+def test_bodies_get_what_the_process_leaves():
+    budget = make()
+    assert budget.total_bytes() == int(150 * MB * 0.85) - 48 * MB
+    budget.take(10 * MB)
+    # What is held is not counted twice.
+    budget.note_private(58 * MB)
+    assert budget.total_bytes() == int(150 * MB * 0.85) - 48 * MB
+
+
+def test_memory_that_grows_elsewhere_is_taken_from_the_bodies():
+    budget = make()
+    before = budget.total_bytes()
+    budget.note_private(68 * MB)
+    assert budget.total_bytes() == before - 20 * MB
+    budget.note_private(500 * MB)
+    assert budget.total_bytes() == 0
+    assert not budget.can_ever_fit(1)
+
+
+def test_many_large_bodies_leave_room_for_small_ones():
+    budget = make()
+    count = 0
+    while budget.fits(4 * MB):
+        budget.take(4 * MB)
+        count += 1
+    assert count >= 14
+    assert budget.fits(memory_budget.SMALL_BYTES)
+    # The last one is there twice as its pieces are joined.
+    assert (count + 1) * 4 * MB + 48 * MB < 150 * MB * 0.85
+
+
+def test_unmeasured_process_is_not_taken_for_empty():
+    budget = memory_budget.MemoryBudget(128 * MB)
+    assert budget.total_bytes() < 64 * MB
--- a/tests/standins/forward_world.py
+++ b/tests/standins/forward_world.py
@@ -101,6 +101,8 @@
         settings = forward_settings.from_plain(
             {
                 "instance": {"name": "one", "data_centre": "here"},
+                # The instance shares the process of the tests.
+                "capacity": {"memory_mb": 16_000},
                 "listen": {
                     "callers": "127.0.0.1:1",
                     "ready": "127.0.0.1:1",
