Count only bytes that are there as memory of bodies, and odd lengths

Callers would see: an instance that admits more bodies the more of them are on their way; a closed connection for a request whose length is stated twice; a 503 and stray bytes for a body beyond the configured limit.

Cause: the bound of the commit before subtracted memory that was only kept for a body from the measured memory of the process, and read the stated length before the HTTP server had checked it.

Why this works: bytes are counted as present as they arrive; a length that is no plain number is counted as chunks are, and one over the limit is left to the HTTP server, which refuses it.

--- a/packages/seam_node/seam_node/forward/callers/caller_memory.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -86,16 +86,25 @@
             return False
         except asyncio.CancelledError:
             if admitted.done() and not admitted.cancelled():
-                self.release(size)
+                self.release(size, 0)
             raise
         finally:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
         return True
 
-    def release(self, size: int) -> None:
-        """Gives memory back and admits those that wait for it."""
-        self._budget.release(size)
+    def note_arrived(self, size: int) -> None:
+        """Records that bytes of a body with memory have arrived."""
+        self._budget.note_arrived(size)
+
+    def release(self, size: int, arrived: int) -> None:
+        """Gives memory back and admits those that wait for it.
+
+        Args:
+            size: the memory that was taken.
+            arrived: how much of it was in use.
+        """
+        self._budget.release(size, arrived)
         self._admit()
 
     def _admit(self) -> None:
@@ -118,6 +127,7 @@
         """Holds nothing yet."""
         self._memory = memory
         self._bytes = 0
+        self._arrived = 0
 
     async def take_soon(self, size: int) -> bool:
         """Takes more memory; returns whether there was room in time."""
@@ -133,8 +143,14 @@
         self._bytes += size
         return True
 
+    def note_arrived(self, size: int) -> None:
+        """Records bytes of the body."""
+        self._arrived += size
+        self._memory.note_arrived(size)
+
     def release(self) -> None:
         """Gives all of it back."""
         size, self._bytes = self._bytes, 0
-        if size:
-            self._memory.release(size)
+        arrived, self._arrived = self._arrived, 0
+        if size or arrived:
+            self._memory.release(size, arrived)
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -15,9 +15,18 @@
 from seam_node.forward.callers import context
 
 CHUNK_BYTES = 64 * 1024
+MAX_SIZE_DIGITS = 15
 MAX_BODY_S = 20.0
 """Longest time in which a body arrives; no caller waits longer."""
 
+INITIAL_LIMITS = forwarding.CallerLimits(
+    max_header_bytes=64 * 1024,
+    max_body_bytes=16 * 1024 * 1024,
+    header_timeout_s=10.0,
+    idle_timeout_s=60.0,
+)
+"""Limits until a configuration is in force."""
+
 
 class ConnectionAnswer(context.CallerAnswer):
     """Sends the answer on the connection of the request."""
@@ -113,6 +122,11 @@
         self.arrived_at = arrived_at
         self.chunks: list[bytes] = []
 
+    def append(self, chunk: bytes) -> None:
+        """Adds bytes to the body."""
+        self.chunks.append(chunk)
+        self.hold.note_arrived(len(chunk))
+
     def take_body(self) -> bytes:
         """Returns the body and keeps none of it."""
         chunks, self.chunks = self.chunks, []
@@ -150,7 +164,10 @@
         self._request = RawRequest(
             start_line, headers, self._server.now(), hold
         )
-        size = int(headers.get("Content-Length", 0))
+        size = _body_size(headers)
+        if size > self._server.max_body_bytes:
+            # The HTTP server refuses it.
+            return None
         self._is_sized = size > 0
         if not size or hold.take(size):
             return None
@@ -160,7 +177,7 @@
         if self._refused:
             return None
         if self._is_sized or self._request.hold.take(len(chunk)):
-            self._request.chunks.append(chunk)
+            self._request.append(chunk)
             return None
         return self._admit(len(chunk), chunk)
 
@@ -182,7 +199,7 @@
         hold = self._request.hold
         if await hold.take_soon(size):
             if chunk:
-                self._request.chunks.append(chunk)
+                self._request.append(chunk)
             return
         self._refused = True
         self._request.chunks.clear()
@@ -262,6 +279,11 @@
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Size of the largest body that callers may send."""
+        return self._server.conn_params.max_body_size
+
     def refuse_reuse(self) -> None:
         """Closes each connection after its next answer."""
         self._server.conn_params.no_keep_alive = True
@@ -282,6 +304,13 @@
         await self._server.close_all_connections()
 
 
+def _body_size(headers: httputil.HTTPHeaders) -> int:
+    """Returns the stated size of a body; 0 if it is not known."""
+    text = headers.get("Content-Length", "")
+    is_size = text.isdecimal() and len(text) <= MAX_SIZE_DIGITS
+    return int(text) if is_size else 0
+
+
 def _headers(
     fields: tuple[forwarding.HeaderField, ...],
 ) -> httputil.HTTPHeaders:
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -61,13 +61,6 @@
 EXIT_MARGIN_S = 0.4
 """Time before the end of the grace period at which the process exits."""
 DRAIN_POLL_INTERVAL_S = 0.05
-_INITIAL_CALLER_LIMITS = forwarding.CallerLimits(
-    max_header_bytes=64 * 1024,
-    max_body_bytes=16 * 1024 * 1024,
-    header_timeout_s=10.0,
-    idle_timeout_s=60.0,
-)
-"""Limits until a configuration is in force."""
 
 
 @attrs.frozen
@@ -125,7 +118,7 @@
             self._handler.refuse_for_memory,
             self.memory,
             self._now,
-            _INITIAL_CALLER_LIMITS,
+            caller_server.INITIAL_LIMITS,
         )
         self.routes.on_change = self._on_routes
         self._register_gauges()
--- a/packages/seam_policy/seam_policy/memory_budget.py
+++ b/packages/seam_policy/seam_policy/memory_budget.py
@@ -26,10 +26,16 @@
         self._limit_bytes = limit_bytes
         self._base_bytes = ASSUMED_BASE_BYTES
         self.held_bytes = 0
+        """Bytes of bodies that there are, or that memory is kept for."""
+        self._present_bytes = 0
 
     def note_private(self, private_bytes: int) -> None:
         """Records the measured private memory of the process."""
-        self._base_bytes = max(0, private_bytes - self.held_bytes)
+        self._base_bytes = max(0, private_bytes - self._present_bytes)
+
+    def note_arrived(self, size: int) -> None:
+        """Records bytes of a body that was counted before."""
+        self._present_bytes += size
 
     def total_bytes(self) -> int:
         """Returns the memory for all bodies together."""
@@ -48,9 +54,10 @@
         """Counts a body, or a part of one, that is held from now on."""
         self.held_bytes += size
 
-    def release(self, size: int) -> None:
-        """Ends the count of bytes that are not held any more."""
+    def release(self, size: int, arrived: int) -> None:
+        """Ends the count of bytes, of which some have arrived."""
         self.held_bytes -= size
+        self._present_bytes -= arrived
 
     def _allowed(self, size: int) -> int:
         total = self.total_bytes()
--- a/tests/seam_node/forward/callers/test_caller_memory.py
+++ b/tests/seam_node/forward/callers/test_caller_memory.py
@@ -167,3 +167,35 @@
             callers.clear()
 
     forward_world.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("length", ["99999999999", "600000000000000000000"])
+def test_body_over_the_limit_of_one_is_no_question_of_memory(length):
+    async def scenario(world):
+        caller = await world.connect()
+        caller.writer.write(
+            b"POST /long/1 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: c-1\r\n"
+            b"Content-Length: %s\r\n\r\n" % length.encode()
+        )
+        line = await caller.reader.readline()
+        assert b" 400 " in line
+        assert await caller.reader.read() == b"\r\n"
+        assert world.node.memory.refused == 0
+
+    forward_world.run_scenario(scenario)
+
+
+def test_equal_lengths_stated_twice_are_one_length():
+    async def scenario(world):
+        plain = await world.endpoint("e-1")
+        caller = await world.connect()
+        caller.writer.write(
+            b"POST /write/1 HTTP/1.1\r\nHost: app.example\r\n"
+            b"Request-Id: c-1\r\nContent-Length: 3\r\nContent-Length: 3\r\n"
+            b"\r\nxyz"
+        )
+        assert (await caller.read()).status == 200
+        assert plain.ran[0].body == b"xyz"
+        await world.until(lambda: world.node.memory.held_bytes == 0)
+
+    forward_world.run_scenario(scenario)
--- a/tests/seam_policy/test_memory_budget.py
+++ b/tests/seam_policy/test_memory_budget.py
@@ -15,7 +15,11 @@
     budget = make()
     assert budget.total_bytes() == int(150 * MB * 0.85) - 48 * MB
     budget.take(10 * MB)
-    # What is held is not counted twice.
+    # Memory that is kept for a body is still free, and one that is there is
+    # not counted twice.
+    budget.note_private(48 * MB)
+    assert budget.total_bytes() == int(150 * MB * 0.85) - 48 * MB
+    budget.note_arrived(10 * MB)
     budget.note_private(58 * MB)
     assert budget.total_bytes() == int(150 * MB * 0.85) - 48 * MB
 
