Have endpoints of the soak leave by sign and ask for pauses

Two new kinds of trouble beside the store's outages and planned replacements: an endpoint says that it leaves while the store shows it as ready, and one turns requests away and asks for a pause. Checked from what endpoints saw: no request of an instance comes over 0.5 s after its first one that told it, and at most two in a pause. The limit's test reads the times of arrivals that have ids now; it is as strict as before.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -10,6 +10,7 @@
 DEADLY = "dead01"
 EVENTS = 6
 EVENT_PAUSE_S = 0.03
+PAUSE_S = 1.5
 
 
 def plain_body(request_id):
@@ -26,6 +27,14 @@
     return b"".join(event(request_id, n) for n in range(1, EVENTS + 1))
 
 
+@attrs.define
+class Arrival:
+    """A request that reached an endpoint."""
+
+    request_id: str
+    at: float
+
+
 @attrs.define
 class Run:
     """A request that an endpoint began to work on."""
@@ -44,23 +53,18 @@
         self.mood = ""
         self.runs = []
         self.arrivals = []
-        """Times of requests, those that were refused included."""
+        """Requests, those that were refused included."""
+        self.pauses = []
+        """Requests that were refused and asked for a pause."""
 
     async def _reply(self, received, writer):
         if received.target.startswith("/sycamoreseam/") or received.prefills:
             await forward_endpoint.reply_engine(self, received, writer)
             return
-        self.arrivals.append(time.monotonic())
-        if self.mood == "refuse":
-            writer.write(
-                forward_endpoint.answer(
-                    received,
-                    b"",
-                    "503 Service Unavailable",
-                    Server_Seal="",
-                    Not_Executed="1",
-                )
-            )
+        arrival = Arrival(received.request_id, time.monotonic())
+        self.arrivals.append(arrival)
+        if self.mood in ("refuse", "pause"):
+            self._refuse(received, writer, arrival)
             return
         deadly = DEADLY in received.headers.get("prompt-prefix", "")
         run = Run(received.request_id, time.monotonic(), deadly)
@@ -70,6 +74,22 @@
         else:
             await self._answer_plain(received, writer)
 
+    def _refuse(self, received, writer, arrival):
+        pause = {}
+        if self.mood == "pause":
+            self.pauses.append(arrival)
+            pause = {"Retry_After": str(PAUSE_S)}
+        writer.write(
+            forward_endpoint.answer(
+                received,
+                b"",
+                "503 Service Unavailable",
+                Server_Seal="",
+                Not_Executed="1",
+                **pause,
+            )
+        )
+
     async def _answer_plain(self, received, writer):
         await asyncio.sleep(EVENT_PAUSE_S)
         whole = forward_endpoint.answer(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,11 +3,18 @@
 import bisect
 import collections
 
+from soak import backends
+
 DRAINED_S = 3.0
 """Time after which a leaving endpoint gets no requests."""
 WINDOW_S = 4.0
 PROMISES = (408, 421, 429, 503)
 """Statuses that promise that the request has not run."""
+TOLD_S = 0.5
+"""Time from a request to the end of its answer's head, with what is on its way
+meanwhile."""
+IN_FLIGHT_S = 0.5
+MAX_IN_PAUSE = 2
 MAX_DEADLY_RUNS = 8
 """Five crashes and three more requests."""
 
@@ -59,6 +66,42 @@
     ]
 
 
+def arrivals_after_sign(signed, outcomes):
+    """Returns requests of an instance long after its first one that told it.
+
+    The answer to the first request after the sign tells the instance.
+    """
+    member_of = {each.request_id: each.member for each in outcomes}
+    found = []
+    for backend, signed_at in signed:
+        told_at = {}
+        for each in backend.arrivals:
+            member = member_of.get(each.request_id)
+            if each.at > signed_at:
+                first_at = told_at.setdefault(member, each.at)
+                if each.at > first_at + TOLD_S:
+                    late_s = each.at - first_at
+                    found.append(f"{member} at {backend.id}: {late_s:.1f} s")
+    return found
+
+
+def arrivals_in_pauses(all_backends, outcomes):
+    """Returns the most requests of one instance within one pause."""
+    member_of = {each.request_id: each.member for each in outcomes}
+    most = 0
+    for backend in all_backends:
+        for pause in backend.pauses:
+            since, until = pause.at + IN_FLIGHT_S, pause.at + backends.PAUSE_S
+            member = member_of.get(pause.request_id)
+            count = sum(
+                since < each.at < until
+                and member_of.get(each.request_id) == member
+                for each in backend.arrivals
+            )
+            most = max(most, count)
+    return most
+
+
 def deadly_runs(all_backends):
     """Returns how many requests with the deadly part reached an engine."""
     return sum(run.deadly for b in all_backends for run in b.runs)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 COPY_AGE_S = 2.0
 MOOD_S = 1.2
 MOODS = ("refuse", "cut", "twice", "unframed")
+SIGN_S = 4.0
 LIMIT = 2.0
 LIMITED_S = 5.0
 
@@ -80,6 +81,21 @@
     counts[f"endpoint: {mood}"] += 1
 
 
+async def ask_for_pause(fleet, rng, counts):
+    """Has an endpoint turn requests away and ask for a pause."""
+    backend = rng.choice(fleet.backends)
+    backend.mood = "pause"
+    await asyncio.sleep(MOOD_S)
+    backend.mood = ""
+    counts["endpoint pauses"] += 1
+
+
+async def say_leaving(fleet, rng, counts):
+    """Has an endpoint say that it leaves, while the store does not."""
+    await fleet.leave_by_sign(rng.choice(fleet.backends), SIGN_S)
+    counts["endpoint leaves by sign"] += 1
+
+
 async def replace(fleet, rng, counts):
     """Has an endpoint leave as planned, and another one take its place."""
     await fleet.replace_backend(rng.choice(fleet.backends))
@@ -88,4 +104,5 @@
 
 RESTORED = (store_restored, store_restored, restart, freeze, kill, replace)
 PLANNED = (restart, replace, store_forgets)
+SIGNS = (ask_for_pause, ask_for_pause, say_leaving, store_away, replace)
 ALL = (restart, kill, freeze, store_away, store_forgets, moody, moody, replace)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -42,6 +42,8 @@
         self.all_backends = []
         self.left = []
         """Endpoints that have left, with the time of the store's answer."""
+        self.signed = []
+        """Endpoints that said that they leave, with the time."""
         self.crashes = 0
         self.version = 0
         """Version of the newest configuration."""
@@ -129,6 +131,22 @@
         await asyncio.sleep(DRAIN_S)
         self.store.remove("servers", backend.id)
 
+    async def leave_by_sign(self, backend, sign_s):
+        """Has an endpoint say that it leaves; the store shows it as ready."""
+        if backend not in self.backends:
+            return
+        self.backends.remove(backend)
+        await self._add_backend(
+            f"{backend.id}-",
+            self._services[backend],
+            backend.stage,
+            renamed=True,
+        )
+        backend.fields["Server-Leaving"] = "1"
+        self.signed.append((backend, time.monotonic()))
+        await asyncio.sleep(sign_s)
+        self.store.remove("servers", backend.id)
+
     async def _start(self, member):
         await member.start()
         async with asyncio.timeout(START_S):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -178,11 +178,26 @@
     asyncio.run(soak.play(script))
     soak.check()
     (plain, since), (_, until) = limited_from
-    arrivals = [at for at in plain.arrivals if since + STABLE_S < at < until]
+    times = [each.at for each in plain.arrivals]
+    arrivals = [at for at in times if since + STABLE_S < at < until]
     allowed = 1.5 * LIMIT * checks.WINDOW_S + 5
     assert checks.most_in_window(arrivals) <= allowed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_signs_of_endpoints_while_the_store_goes_away(tmp_path, seed):
+    async def script(soak):
+        await soak.strike(faults.SIGNS, overlap=True)
+
+    soak = Soak(tmp_path, seed)
+    asyncio.run(soak.play(script))
+    soak.check()
+    signed, every = soak.fleet.signed, soak.fleet.all_backends
+    assert checks.arrivals_after_sign(signed, soak.outcomes) == []
+    most = checks.arrivals_in_pauses(every, soak.outcomes)
+    assert most <= checks.MAX_IN_PAUSE
+
+
 def test_the_checks_find_planted_faults():
     backend = backends.Backend("plain-1")
     for _ in range(2):
@@ -196,3 +211,8 @@
     assert len(found) == 5
     assert checks.late_runs([(backend, -9.0)]) != []
     assert checks.most_in_window([0.0, 1.0, 9.0]) == 2
+    backend.arrivals = [backends.Arrival("s-1", at) for at in (2.0, 2.6, 3.0)]
+    backend.pauses = backend.arrivals[:1]
+    sent = [twice, refused, foreign]
+    assert len(checks.arrivals_after_sign([(backend, 1.0)], sent)) == 2
+    assert checks.arrivals_in_pauses([backend], sent) == 2
