Read large bodies into one block, and give its memory back at once

Cause: bodies came in pieces of 64 KB, whose blocks the C library keeps after they are freed, and it also keeps blocks of the size of a body once one was freed. So the process may hold more than it counts; and what many connections need beside the bodies came before it was measured.

What the single block alone saves was not measured by itself.

Ruled out: copies on the way to engines (the tests count none), buffers of waiting connections (64 KB each).

Why this works: a body of known size is read into one block, whose pages are in use only as they fill, and blocks over 128 KB go back to the system as soon as they are freed. The measured rest is read twice a second.

--- a/packages/seam_node/seam_node/adapters/process_memory.py
+++ b/packages/seam_node/seam_node/adapters/process_memory.py
@@ -1,5 +1,7 @@
 """Measures the memory of this process."""
 
+import contextlib
+import ctypes
 import os
 import pathlib
 
@@ -7,6 +9,21 @@
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
+_M_MMAP_THRESHOLD = -3
+"""Option of the C library, `malloc.h`."""
+_LARGE_BLOCK_BYTES = 128 * 1024
+
+
+def return_large_blocks() -> None:
+    """Has the C library give large blocks back as soon as they are freed.
+
+    By itself it keeps blocks of the size of those that were freed before, and
+    so the memory of bodies that are gone.
+    """
+    with contextlib.suppress(AttributeError):
+        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
+
+
 def private_bytes() -> int | None:
     """Returns the resident memory that no file backs; None if unknown."""
     try:
--- a/packages/seam_node/seam_node/forward/callers/caller_memory.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -9,7 +9,7 @@
 
 from seam_policy import memory_budget
 
-MEASURE_INTERVAL_S = 1.0
+MEASURE_INTERVAL_S = 0.5
 ROOM_WAIT_S = 0.45
 """Longest time for which a body is not read. Callers give a request up that is
 not read for a second, or a third of their time."""
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -15,6 +15,8 @@
 from seam_node.forward.callers import context
 
 CHUNK_BYTES = 64 * 1024
+SMALL_BODY_BYTES = 64 * 1024
+"""Size up to which a body is copied once, so that it can't be changed."""
 MAX_SIZE_DIGITS = 15
 MAX_BODY_S = 20.0
 """Longest time in which a body arrives; no caller waits longer."""
@@ -120,17 +122,33 @@
         self.start = start
         self.headers = headers
         self.arrived_at = arrived_at
-        self.chunks: list[bytes] = []
+        self._body = bytearray()
+        self._size = 0
+
+    def expect(self, size: int) -> None:
+        """Prepares for a body of a known size.
+
+        Its pages are in use only once they are written to, and a body that
+        does not grow is never copied.
+        """
+        self._body = bytearray(size)
 
     def append(self, chunk: bytes) -> None:
         """Adds bytes to the body."""
-        self.chunks.append(chunk)
+        self._body[self._size : self._size + len(chunk)] = chunk
+        self._size += len(chunk)
         self.hold.note_arrived(len(chunk))
 
-    def take_body(self) -> bytes:
+    def take_body(self) -> bytes | bytearray:
         """Returns the body and keeps none of it."""
-        chunks, self.chunks = self.chunks, []
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        body, self._body = self._body, bytearray()
+        return body if len(body) > SMALL_BODY_BYTES else bytes(body)
+
+    def drop_body(self) -> None:
+        """Drops what has arrived of the body."""
+        self._body = bytearray()
+        self._size = 0
+        self.hold.release()
 
 
 Handler = Callable[[RawRequest, ConnectionAnswer], Awaitable[None]]
@@ -169,7 +187,10 @@
             # The HTTP server refuses it.
             return None
         self._is_sized = size > 0
-        if not size or hold.take(size):
+        if not size:
+            return None
+        if hold.take(size):
+            self._request.expect(size)
             return None
         return self._admit(size)
 
@@ -200,10 +221,11 @@
         if await hold.take_soon(size):
             if chunk:
                 self._request.append(chunk)
+            else:
+                self._request.expect(size)
             return
         self._refused = True
-        self._request.chunks.clear()
-        hold.release()
+        self._request.drop_body()
         self._server.memory.refused += 1
         self._server.refuse(self._answer)
         if "Expect" in self._request.headers:
--- a/packages/seam_node/seam_node/forward/daemon.py
+++ b/packages/seam_node/seam_node/forward/daemon.py
@@ -19,6 +19,7 @@
 from seam_model import forwarding
 from seam_node import logs
 from seam_node import metrics
+from seam_node.adapters import process_memory
 from seam_node.forward import log_writer
 from seam_node.forward import node
 from seam_node.forward.callers import entry
@@ -68,6 +69,7 @@
         loaded.ok.logs.max_queued_lines,
         loaded.ok.logs.max_lines_per_s,
     )
+    process_memory.return_large_blocks()
     writer.start()
     eliot.add_destinations(writer)
     asyncio.run(_Process(path, loaded.ok, adapter, writer).serve())
--- a/packages/seam_policy/seam_policy/memory_budget.py
+++ b/packages/seam_policy/seam_policy/memory_budget.py
@@ -6,16 +6,15 @@
 other instances.
 """
 
-USABLE_SHARE = 0.85
-"""Share of the memory limit that is used on purpose."""
+USABLE_SHARE = 0.75
+"""Share of the memory limit that is used on purpose. The rest is for what the
+process needs for many connections, until that is measured."""
 ASSUMED_BASE_BYTES = 64 * 1024 * 1024
 """Memory of the process without bodies, until it was measured."""
 SMALL_BYTES = 64 * 1024
 """Size up to which a body counts as small."""
 SMALL_SHARE = 0.1
 """Share of the memory for bodies that only small ones may use."""
-JOIN_FACTOR = 2
-"""A large body is there twice for a moment, as its pieces are joined."""
 
 
 class MemoryBudget:
@@ -44,11 +43,11 @@
 
     def fits(self, size: int) -> bool:
         """Returns whether there is room for a body of a size now."""
-        return self.held_bytes + self._needed(size) <= self._allowed(size)
+        return self.held_bytes + size <= self._allowed(size)
 
     def can_ever_fit(self, size: int) -> bool:
         """Returns whether there would be room if nothing else was held."""
-        return self._needed(size) <= self._allowed(size)
+        return size <= self._allowed(size)
 
     def take(self, size: int) -> None:
         """Counts a body, or a part of one, that is held from now on."""
@@ -62,6 +61,3 @@
     def _allowed(self, size: int) -> int:
         total = self.total_bytes()
         return total if size <= SMALL_BYTES else int(total * (1 - SMALL_SHARE))
-
-    def _needed(self, size: int) -> int:
-        return size if size <= SMALL_BYTES else size * JOIN_FACTOR
