--- a/tests/seam_node/forward/test_leaving_signs.py
+++ b/tests/seam_node/forward/test_leaving_signs.py
@@ -29,15 +29,7 @@
 
 
 async def refuse(endpoint, received, writer):
-    writer.write(
-        forward_endpoint.answer(
-            received,
-            b"",
-            "503 Service Unavailable",
-            Server_Seal="",
-            Not_Executed="1",
-        )
-    )
+    writer.write(forward_endpoint.refusal(received))
 
 
 async def fail(endpoint, received, writer):
--- a/tests/seam_node/forward/test_pauses.py
+++ b/tests/seam_node/forward/test_pauses.py
@@ -15,23 +15,14 @@
 PAUSE_S = 1.2
 
 
-def refusal(received, retry_after):
-    return forward_endpoint.answer(
-        received,
-        b"",
-        "503 Service Unavailable",
-        Server_Seal="",
-        Not_Executed="1",
-        Retry_After=retry_after,
-    )
-
-
 def asks_for_pause(concerns=lambda received: True, retry_after=str(PAUSE_S)):
     """Returns a reply that turns some calls away."""
 
     async def reply(endpoint, received, writer):
         if concerns(received):
-            writer.write(refusal(received, retry_after))
+            writer.write(
+                forward_endpoint.refusal(received, Retry_After=retry_after)
+            )
         elif endpoint.stage:
             await forward_endpoint.reply_engine(endpoint, received, writer)
         else:
@@ -223,7 +214,9 @@
         async def refuse_in_turn(endpoint, received, writer):
             number = len(endpoint.received) - 1
             await may_answer[number].wait()
-            writer.write(refusal(received, values[number]))
+            writer.write(
+                forward_endpoint.refusal(received, Retry_After=values[number])
+            )
 
         endpoint.reply = refuse_in_turn
         callers = [await world.connect() for _ in values]
--- a/tests/seam_node/forward/test_second_copies.py
+++ b/tests/seam_node/forward/test_second_copies.py
@@ -19,16 +19,6 @@
     return not internal and not received.prefills
 
 
-def refusal(received):
-    return forward_endpoint.answer(
-        received,
-        b"",
-        "503 Service Unavailable",
-        Server_Seal="",
-        Not_Executed="1",
-    )
-
-
 class RefusesOnce:
     """Refuses the first of some calls, and sends the refusal once more."""
 
@@ -42,9 +32,9 @@
             return
         if self._is_first:
             self._is_first = False
-            writer.write(refusal(received))
+            writer.write(forward_endpoint.refusal(received))
             asyncio.get_running_loop().call_later(
-                COPY_DELAY_S, writer.write, refusal(received)
+                COPY_DELAY_S, writer.write, forward_endpoint.refusal(received)
             )
             return
         await asyncio.sleep(RUN_S)
@@ -124,11 +114,11 @@
     async def __call__(self, endpoint, received, writer):
         if is_run(received) and self._refused is None:
             self._refused = (received, writer)
-            writer.write(refusal(received))
+            writer.write(forward_endpoint.refusal(received))
             return
         is_hold = received.target.startswith("/sycamoreseam/hold-take")
         if is_hold and self._refused and self._refused[1] is writer:
-            writer.write(refusal(self._refused[0]))
+            writer.write(forward_endpoint.refusal(self._refused[0]))
             await asyncio.sleep(COPY_DELAY_S)
         await forward_endpoint.reply_engine(endpoint, received, writer)
 
--- a/tests/seam_node/forward/test_streams.py
+++ b/tests/seam_node/forward/test_streams.py
@@ -51,15 +51,7 @@
             await forward_endpoint.reply_engine(endpoint, received, writer)
             return
         remaining[0] -= 1
-        writer.write(
-            forward_endpoint.answer(
-                received,
-                b"",
-                "503 Service Unavailable",
-                Server_Seal="",
-                Not_Executed="1",
-            )
-        )
+        writer.write(forward_endpoint.refusal(received))
 
     return reply
 
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -79,16 +79,7 @@
         if self.mood == "pause":
             self.pauses.append(arrival)
             pause = {"Retry_After": str(PAUSE_S)}
-        writer.write(
-            forward_endpoint.answer(
-                received,
-                b"",
-                "503 Service Unavailable",
-                Server_Seal="",
-                Not_Executed="1",
-                **pause,
-            )
-        )
+        writer.write(forward_endpoint.refusal(received, **pause))
 
     async def _answer_plain(self, received, writer):
         await asyncio.sleep(EVENT_PAUSE_S)
--- a/tests/standins/forward_endpoint.py
+++ b/tests/standins/forward_endpoint.py
@@ -55,6 +55,18 @@
     return f"HTTP/1.1 {status}\r\n{head}\r\n".encode() + body
 
 
+def refusal(received: ReceivedRequest, **extra: str) -> bytes:
+    """Returns an answer that says that the request was not run."""
+    return answer(
+        received,
+        b"",
+        "503 Service Unavailable",
+        Server_Seal="",
+        Not_Executed="1",
+        **extra,
+    )
+
+
 def event(number: int) -> bytes:
     """Returns one event of a stream."""
     return f"id: {number}\ndata: t{number}\n\n".encode()
