Wait for the log lines before the test of the placer counts them

All six drafts had been answered.

Cause: log lines are written by a thread of their own, and the test read the file as soon as the last answer was there. Evidence: beside twelve busy loops, 2 of 24 plays saw [0, 0, 5] at first and [0, 0, 6] a second later; 22 saw six at once.

The test now waits until six lines are there and then still asks for exactly 0, 0 and 6. It fails as before if two instances place or if one draft is placed twice.

--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -165,9 +165,13 @@
 
 def test_one_process_places_the_drafts_of_all(tmp_path):
     async def scenario(fleet):
+        def counts():
+            return [len(e.logged("place_granted")) for e in fleet.members]
+
         await expect_drafts([*fleet.members, *fleet.members])
-        counts = [len(e.logged("place_granted")) for e in fleet.members]
-        assert sorted(counts) == [0, 0, 6]
+        # Log lines are written by a thread of their own, after the answer.
+        await fleet.until(lambda: sum(counts()) >= 6)
+        assert sorted(counts()) == [0, 0, 6]
 
     run(tmp_path, scenario)
 
