Take an order that libcurl repeated for one whose answer is lost

Callers of the product's own interface saw 'order_rejected: status=409' after a decode engine had ended a reused connection without an answer, and the sound engine was avoided for 5 s by all requests of that instance.

Cause: libcurl sends a request again, by itself, when a reused connection ends before the first byte of an answer. The engine refuses the second copy as stale. That refusal counted as final and as evidence of a broken engine.

Ruled out: new connections for all orders, which would pay a connection each.

Why it works: the refusal now counts as a lost answer. The retry has a new incarnation, which the engine accepts, and the older one is cancelled, as after any lost answer.

--- a/packages/seam_node/seam_node/adapters/engine_http.py
+++ b/packages/seam_node/seam_node/adapters/engine_http.py
@@ -15,6 +15,8 @@
 
 CONTROL_TIMEOUT_S = 2.0
 TOKEN_SILENCE_TIMEOUT_S = 2.0
+STALE_ORDER_STATUS = 409
+"""Status of an order that an engine has received already, or a newer one."""
 _JSON_HEADERS = {"Content-Type": "application/json", "Expect": ""}
 
 
@@ -172,9 +174,14 @@
         await stream.close()
         if head.status == 0:
             return expression.Error(self._no_answer_error(head.maybe_sent))
-        return expression.Error(
-            decode_refusal(self._name, head.status, head.body)
-        )
+        error = decode_refusal(self._name, head.status, head.body)
+        if error == endpoint_errors.OrderRejected(
+            self._name, STALE_ORDER_STATUS
+        ):
+            # libcurl repeats an order by itself if a reused connection ends
+            # before its answer. The answer of the first one is lost.
+            error = endpoint_errors.EndpointLost(self._name)
+        return expression.Error(error)
 
     def _no_answer_error(
         self, maybe_sent: bool
--- a/tests/proofs/test_runs_engines.py
+++ b/tests/proofs/test_runs_engines.py
@@ -51,7 +51,8 @@
 def test_expired_kv_is_computed_again_elsewhere(seed, promised):
     """Each request is sent to one instance, which may not refuse it.
 
-    With `promised` the engine loses KV before its announced expiry."""
+    With `promised` the engine loses KV before its announced expiry.
+    """
 
     async def scenario(flt, clients):
         for name in ("prefill-1", "prefill-2"):
