Name no KV cache to a decode engine whose time has ended

Found on reading. If the engine of a place left before the request was sent, its KV cache was kept for the next place. If its time ended during the next hold and no prefill engine was left, the request named it all the same, and an engine that can't fetch a KV cache refuses the request: the caller would have been refused although the engine computes a prompt without one.

Cause: only the way that uses a kept KV cache asked for its time; the way without a prefill engine left it in the request's context. Evidence: the test plays just that and finds kv-source in the request before, not after. Besides, a KV cache that a newer prefill replaced was not released; now both are.

Ruled out: a hold that takes longer than its limit, which the first form of the test met (refused by its deadline, as intended).

--- a/packages/seam_node/seam_node/forward/filters/kv.py
+++ b/packages/seam_node/seam_node/forward/filters/kv.py
@@ -13,8 +13,7 @@
 
     def __init__(self, access: engine_access.EngineAccess):
         """Takes the means to call engines."""
-        self._codec = access.codec
-        self._releases = access.releases
+        self._access = access
 
     async def apply(
         self, ctx: context.ForwardContext, proceed: base.Proceed
@@ -23,7 +22,14 @@
         try:
             return await proceed(ctx)
         finally:
-            kv, ctx.kv = ctx.kv, None
-            if kv is not None:
-                call = self._codec.release_kv_call(kv.endpoint, kv.handle)
-                self._releases.send(kv.endpoint, call)
+            release(ctx, self._access)
+
+
+def release(
+    ctx: context.ForwardContext, access: engine_access.EngineAccess
+) -> None:
+    """Releases the KV cache of a request, if it has one."""
+    kv, ctx.kv = ctx.kv, None
+    if kv is not None:
+        call = access.codec.release_kv_call(kv.endpoint, kv.handle)
+        access.releases.send(kv.endpoint, call)
--- a/packages/seam_node/seam_node/forward/filters/prefill.py
+++ b/packages/seam_node/seam_node/forward/filters/prefill.py
@@ -11,6 +11,7 @@
 from seam_node.forward.endpoints import exchange
 from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
+from seam_node.forward.filters import kv as kv_filter
 from seam_node.forward.fleet import messages
 from seam_node.forward.placement import placement
 from seam_node.forward.placement import prefill_engines
@@ -51,6 +52,7 @@
             places: told how each prefill went.
             load: told the duration of each prefill.
         """
+        self._access = access
         self._stats = access.stats
         self._available = access.available
         self._client = access.client
@@ -73,6 +75,7 @@
         if ctx.kv is not None and ctx.now() < ctx.kv.kept_until:
             self._report_unneeded(ctx)
             return await self._decode(ctx, proceed)
+        kv_filter.release(ctx, self._access)
         failed = self._available.pausing()
         engine = ctx.placement.prefill
         queued_s = ctx.placement.queued_s
--- a/tests/seam_node/forward/test_leaving_endpoints.py
+++ b/tests/seam_node/forward/test_leaving_endpoints.py
@@ -56,6 +56,33 @@
     forward_world.run_scenario(scenario)
 
 
+def test_kv_cache_that_ended_during_a_second_hold_is_not_named():
+    """Guards against refusals by an engine that fetches an ended KV cache."""
+
+    async def scenario(world):
+        changed = forward_world.configuration(2, forward_world.DEFAULT_ROUTES)
+        changed["services"][1]["engine"]["handle_ttl_s"] = 0.2
+        world.store.put("config", "main", changed)
+        prefill, first = await world.engines()
+        second = await world.engine("decode-2", "decode")
+        prefill.reply = prefill_slowly
+        caller = await world.connect()
+        caller.send("/draft/1", Model="m", Token_Count="100,50")
+        await world.until(lambda: prefill.received)
+        held = first if first.holds else second
+        other = second if held is first else first
+        other.reply = hold_slowly
+        drain(world, held)
+        drain(world, prefill, stage="prefill")
+        response = await caller.read()
+        assert (response.status, response.complete) == (200, True)
+        assert "kv-source" not in other.ran[0].headers
+        await world.until(lambda: len(prefill.received) == 2)
+        assert prefill.received[1].target == "/sycamoreseam/kv-handle/kv1"
+
+    forward_world.run_scenario(scenario)
+
+
 def test_prefill_engine_that_leaves_during_a_hold_gets_no_prompt():
     """Guards against prompts that are lost as their engine ends."""
 
