Count answers and heads against the memory of an instance

Up to 8 MB an answer were held, uncounted, also after its request had ended, for as long as the caller did not read.

- An answer that is held takes memory chunk by chunk.
Without memory for more it is passed on as it arrives, with backpressure on the endpoint.
No other attempt may follow then, its time is no longer that of an attempt but the route's, and one that breaks off breaks off at the caller's, too.
- A large answer that is whole is written in chunks of 64 KB by the task of its request, so that a stop waits for it; its memory is given back when it has been sent, when the caller leaves, or when a chunk is not read for 20 s.
- Heads are counted.
Those over 4 KB need room, small ones are always read.
- Answers to calls of the instance's own may have 1 MB instead of 8.
- The body of a plain request that may run once is let go with the head of its answer, as that of a stream.

Found besides, with a red test: if the process by itself used 75% of its limit, all requests with a body were refused for good, small ones included, which frees nothing. Small ones now always have 2 MB.

Ruled out: a bound on the number of answers (their sizes differ by a thousand); refusals on the measured memory alone, which may stay high after a peak and would shut the instance out.

--- /dev/null
+++ b/packages/seam_node/seam_node/forward/callers/answer_buffer.py
@@ -0,0 +1,90 @@
+"""Holds an endpoint's answer until it is whole, as memory allows.
+
+An answer that is held can be replaced by that of another attempt. Without
+memory for more of it, it is passed on as it arrives.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from tornado import httputil
+
+from seam_model import forwarding
+from seam_node.forward.callers import context
+from seam_node.forward.endpoints import exchange
+
+
+class AnswerBuffer(exchange.Receiver):
+    """Receives one answer for a caller.
+
+    Bytes of an answer that may not reach the caller are dropped.
+    """
+
+    def __init__(
+        self,
+        ctx: context.ForwardContext,
+        on_passed: Callable[[], None] = lambda: None,
+    ):
+        """Takes the request, and a callback for the start of the answer."""
+        self._ctx = ctx
+        self._on_passed = on_passed
+        self._head: forwarding.AnswerHead | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_passed = False
+        """Whether the caller gets the answer as it arrives."""
+
+    def head(self, head: forwarding.AnswerHead) -> None:
+        """Lets the request's body go if it may not be sent again."""
+        self._head = head
+        if self.can_be_sent() and not self._ctx.route.may_retry():
+            self._ctx.release_body()
+
+    def data(self, chunk: bytes) -> Awaitable[None] | None:
+        """Holds bytes of the body, or passes them on.
+
+        Errors: `tornado.httputil.HTTPInputError` for a body that is too large;
+        the connection is closed then.
+        """
+        self._size += len(chunk)
+        if self._size > exchange.MAX_ANSWER_BYTES:
+            raise httputil.HTTPInputError("body too large")
+        if self._is_passed:
+            return self._ctx.answer.write(chunk)
+        if not self.can_be_sent():
+            return None
+        self._chunks.append(chunk)
+        if self._ctx.answer.take_memory(len(chunk)):
+            return None
+        return self._pass_on()
+
+    def send(self) -> None:
+        """Ends the caller's answer with this one, which is whole."""
+        answer, head = self._ctx.answer, self._head
+        if self._is_passed:
+            answer.finish()
+            return
+        self._ctx.status = head.status
+        answer.send_complete(
+            head.status, head.reason, head.fields, b"".join(self._chunks)
+        )
+
+    def can_be_sent(self) -> bool:
+        """Returns whether the caller may get this answer.
+
+        It may not if a part of another one was sent.
+        """
+        head = self._head
+        if not head.ran or not head.signed or head.misdirected:
+            return False
+        return self._is_passed or not self._ctx.answer.started
+
+    def _pass_on(self) -> Awaitable[None]:
+        ctx = self._ctx
+        self._is_passed = True
+        self._on_passed()
+        ctx.release_body()
+        ctx.status = self._head.status
+        ctx.answer.start(self._head)
+        held, self._chunks = b"".join(self._chunks), []
+        return ctx.answer.write(held)
--- a/packages/seam_node/seam_node/forward/callers/caller_memory.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -18,12 +18,13 @@
 @attrs.define(order=True)
 class _Waiting:
     size: int
+    whole_size: int
     number: int
     admitted: asyncio.Future = attrs.field(order=False)
 
 
 class CallerMemory:
-    """Admits bodies while there is memory for them, the small ones first."""
+    """Admits callers' bytes while there is memory, the small ones first."""
 
     def __init__(
         self,
@@ -47,7 +48,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of bodies that are held now."""
+        """Bytes that are held for callers now."""
         return self._budget.held_bytes
 
     async def start(self) -> None:
@@ -60,24 +61,27 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def take(self, size: int) -> bool:
-        """Takes memory for a body, or more of one, if there is room."""
-        if not self._budget.fits(size):
+    def take(self, size: int, whole_size: int) -> bool:
+        """Takes memory for bytes if there is room.
+
+        `whole_size` counts all bytes of the same request or answer.
+        """
+        if not self._budget.fits(size, whole_size):
             return False
         self._budget.take(size)
         return True
 
-    async def take_soon(self, size: int) -> bool:
+    async def take_soon(self, size: int, whole_size: int) -> bool:
         """Takes memory once there is room; returns whether there was in time.
 
         Cancellation takes nothing.
         """
-        if self.take(size):
+        if self.take(size, whole_size):
             return True
-        if not self._budget.can_ever_fit(size):
+        if not self._budget.can_ever_fit(size, whole_size):
             return False
         admitted = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(size, next(self._numbers), admitted)
+        waiting = _Waiting(size, whole_size, next(self._numbers), admitted)
         bisect.insort(self._waiting, waiting)
         try:
             async with asyncio.timeout(ROOM_WAIT_S):
@@ -108,7 +112,10 @@
         self._admit()
 
     def _admit(self) -> None:
-        while self._waiting and self.take(self._waiting[0].size):
+        while self._waiting:
+            first = self._waiting[0]
+            if not self.take(first.size, first.whole_size):
+                return
             self._waiting.pop(0).admitted.set_result(None)
 
     async def _measure_often(self) -> None:
@@ -120,8 +127,8 @@
             await asyncio.sleep(MEASURE_INTERVAL_S)
 
 
-class BodyHold:
-    """The memory that one request's body takes."""
+class MemoryHold:
+    """The memory that the body of one request or answer takes."""
 
     def __init__(self, memory: CallerMemory):
         """Holds nothing yet."""
@@ -131,14 +138,14 @@
 
     async def take_soon(self, size: int) -> bool:
         """Takes more memory; returns whether there was room in time."""
-        if not await self._memory.take_soon(size):
+        if not await self._memory.take_soon(size, self._bytes + size):
             return False
         self._bytes += size
         return True
 
     def take(self, size: int) -> bool:
         """Takes more memory if there is room at once."""
-        if not self._memory.take(size):
+        if not self._memory.take(size, self._bytes + size):
             return False
         self._bytes += size
         return True
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -17,9 +17,13 @@
 CHUNK_BYTES = 64 * 1024
 SMALL_BODY_BYTES = 64 * 1024
 """Size up to which a body is copied once, so that it can't be changed."""
+SMALL_HEAD_BYTES = 4 * 1024
+"""Size up to which a head is read whether there is memory for it or not."""
 MAX_SIZE_DIGITS = 15
 MAX_BODY_S = 20.0
 """Longest time in which a body arrives; no caller waits longer."""
+MAX_CHUNK_S = 20.0
+"""Longest time in which a caller reads a chunk of an answer that is ready."""
 
 INITIAL_LIMITS = forwarding.CallerLimits(
     max_header_bytes=64 * 1024,
@@ -33,9 +37,16 @@
 class ConnectionAnswer(context.CallerAnswer):
     """Sends the answer on the connection of the request."""
 
-    def __init__(self, conn: http1connection.HTTP1Connection):
-        """Takes the request's connection."""
+    def __init__(
+        self,
+        conn: http1connection.HTTP1Connection,
+        hold: caller_memory.MemoryHold,
+    ):
+        """Takes the request's connection and the memory of the answer."""
         self._conn = conn
+        self._hold = hold
+        self._unsent = b""
+        """The body of a complete answer, if it is large."""
         self._started = False
         self._ended = False
 
@@ -75,10 +86,49 @@
         fields: tuple[forwarding.HeaderField, ...],
         body: bytes,
     ) -> None:
-        """Sends a complete answer."""
-        self.send_early(status, reason, fields, body)
+        """Sends a complete answer; `deliver` has to follow."""
+        if len(body) <= CHUNK_BYTES:
+            self.send_early(status, reason, fields, body)
+            self.finish()
+            return
+        self._started = True
+        self._unsent = body
+        start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        headers = _headers(fields)
+        headers["Content-Length"] = str(len(body))
+        _ignore_closed(self._conn.write_headers(start, headers))
+
+    async def deliver(self) -> None:
+        """Sends what is left of a complete answer, as the caller reads it.
+
+        A caller that reads nothing for too long is cut off.
+        """
+        if not self._unsent:
+            return
+        try:
+            for at in range(0, len(self._unsent), CHUNK_BYTES):
+                chunk = self._unsent[at : at + CHUNK_BYTES]
+                async with asyncio.timeout(MAX_CHUNK_S):
+                    await self._conn.write(chunk)
+        except (TimeoutError, iostream.StreamClosedError):
+            self.abort()
+            return
         self.finish()
 
+    def take_memory(self, size: int) -> bool:
+        """Takes memory for bytes that are held until the answer has been sent.
+
+        They have arrived already, those of the request's head included.
+        """
+        if not self._hold.take(size):
+            return False
+        self._hold.note_arrived(size)
+        return True
+
+    def release_memory(self) -> None:
+        """Gives the memory of the answer back."""
+        self._hold.release()
+
     def send_early(
         self,
         status: int,
@@ -115,7 +165,7 @@
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         arrived_at: float,
-        hold: caller_memory.BodyHold,
+        hold: caller_memory.MemoryHold,
     ):
         """Takes the head of a request, its arrival time and its memory."""
         self.hold = hold
@@ -165,7 +215,9 @@
     ):
         self._server = caller_server
         self._conn = conn
-        self._answer = ConnectionAnswer(conn)
+        self._answer = ConnectionAnswer(
+            conn, caller_memory.MemoryHold(caller_server.memory)
+        )
         self._request: RawRequest | None = None
         self._task: asyncio.Task | None = None
         self._refused = False
@@ -178,7 +230,7 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        hold = caller_memory.BodyHold(self._server.memory)
+        hold = caller_memory.MemoryHold(self._server.memory)
         self._request = RawRequest(
             start_line, headers, self._server.now(), hold
         )
@@ -186,6 +238,11 @@
         if size > self._server.max_body_bytes:
             # The HTTP server refuses it.
             return None
+        head_size = _head_size(headers)
+        has_room = self._answer.take_memory(head_size)
+        if head_size > SMALL_HEAD_BYTES and not has_room:
+            self._refuse()
+            return None
         self._is_sized = size > 0
         if not size:
             return None
@@ -213,6 +270,7 @@
 
     def on_connection_close(self) -> None:
         self._request.hold.release()
+        self._answer.release_memory()
         self._on_disconnect()
 
     async def _admit(self, size: int, chunk: bytes = b"") -> None:
@@ -224,8 +282,12 @@
             else:
                 self._request.expect(size)
             return
+        self._refuse()
+
+    def _refuse(self) -> None:
         self._refused = True
         self._request.drop_body()
+        self._answer.release_memory()
         self._server.memory.refused += 1
         self._server.refuse(self._answer)
         if "Expect" in self._request.headers:
@@ -240,8 +302,10 @@
         answer = self._answer
         try:
             await self._server.handler(self._request, answer)
+            await answer.deliver()
         finally:
             self._request.hold.release()
+            answer.release_memory()
             if not answer.ended:
                 answer.abort()
 
@@ -333,6 +397,11 @@
     return int(text) if is_size else 0
 
 
+def _head_size(headers: httputil.HTTPHeaders) -> int:
+    """Returns the bytes that the fields of a head take."""
+    return sum(len(name) + len(value) for name, value in headers.get_all())
+
+
 def _headers(
     fields: tuple[forwarding.HeaderField, ...],
 ) -> httputil.HTTPHeaders:
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -40,6 +40,13 @@
     ) -> None:
         """Sends a complete answer."""
 
+    @abc.abstractmethod
+    def take_memory(self, size: int) -> bool:
+        """Takes memory for bytes of the answer; returns whether there is room.
+
+        It is given back once the answer has been sent.
+        """
+
     @property
     @abc.abstractmethod
     def started(self) -> bool:
--- a/packages/seam_node/seam_node/forward/callers/relay.py
+++ b/packages/seam_node/seam_node/forward/callers/relay.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 
 from seam_model import forwarding
+from seam_node.forward.callers import answer_buffer
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import exchange
 from seam_node.ports import wire
@@ -25,7 +26,7 @@
         self._ctx = ctx
         self._on_progress = on_progress
         self._head: forwarding.AnswerHead | None = None
-        self._buffered = exchange.BodyCollector()
+        self._buffer = answer_buffer.AnswerBuffer(ctx)
         self._tail = b""
         """The last bytes of the body, as many as end an event."""
 
@@ -33,6 +34,7 @@
         """Starts the caller's answer if this one may be forwarded."""
         self._head = head
         if not self._should_stream():
+            self._buffer.head(head)
             return
         ctx = self._ctx
         if not ctx.route.may_retry():
@@ -44,8 +46,7 @@
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         """Forwards or buffers bytes of the body."""
         if not self._should_stream():
-            self._buffered.data(chunk)
-            return None
+            return self._buffer.data(chunk)
         self._tail = (self._tail + chunk)[-len(EVENT_END) :]
         return self._forward(chunk)
 
@@ -67,18 +68,14 @@
             or ctx.req.last_event_id > 0
         )
 
-    def end(self, head: forwarding.AnswerHead) -> None:
+    def end(self) -> None:
         """Ends the caller's answer once the endpoint's is complete."""
         if self._should_stream():
             self._ctx.answer.finish()
-            return
-        if self._ctx.answer.started:
+        elif self._buffer.can_be_sent():
+            self._buffer.send()
+        else:
             self._ctx.answer.abort()
-            return
-        self._ctx.status = head.status
-        self._ctx.answer.send_complete(
-            head.status, head.reason, head.fields, self._buffered.body
-        )
 
     def _should_stream(self) -> bool:
         head = self._head
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -22,9 +22,10 @@
 MAX_MISMATCHED_ANSWERS = 4
 """Answers to other requests that are skipped on one connection."""
 
-MAX_COLLECTED_BYTES = 8 * 1024 * 1024
-"""Size of a body that is collected before it is used. An endpoint may send
-without end, and an instance has little memory."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Size of an answer that is no stream. An endpoint may send without end."""
+MAX_INTERNAL_ANSWER_BYTES = 1024 * 1024
+"""Size of an answer to a call of the instance's own."""
 
 MAX_JOINED_BODY_BYTES = 16 * 1024
 """Size of a body that is written together with its head, which copies it."""
@@ -51,7 +52,7 @@
 
 
 class BodyCollector(Receiver):
-    """Collects a complete body."""
+    """Collects the body of an answer to an internal call."""
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -73,7 +74,7 @@
         the connection is closed then.
         """
         self._size += len(chunk)
-        if self._size > MAX_COLLECTED_BYTES:
+        if self._size > MAX_INTERNAL_ANSWER_BYTES:
             raise httputil.HTTPInputError("body too large")
         self._chunks.append(chunk)
 
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -9,11 +9,11 @@
 from seam_model import endpoint_errors
 from seam_model import errors
 from seam_model import forwarding
+from seam_node.forward.callers import answer_buffer
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import call_stats
 from seam_node.forward.endpoints import endpoint_limits
-from seam_node.forward.endpoints import exchange
 from seam_node.forward.endpoints import request_sender
 from seam_node.forward.filters import base
 from seam_node.forward.store import catalog_state
@@ -42,8 +42,11 @@
 class _Reply:
     """A complete answer that may be returned to the caller."""
 
-    head: forwarding.AnswerHead
-    body: exchange.BodyCollector
+    status: int
+    answer: answer_buffer.AnswerBuffer
+
+
+_Sent = expression.Result[_Reply, endpoint_errors.EndpointError]
 
 
 class CallFilter(base.ForwardFilter):
@@ -97,11 +100,10 @@
                 return _finish(ctx, last_reply, error)
             if ctx.sends and not self._sender.take_retry(ctx):
                 return _finish(ctx, last_reply, errors.RetryBudgetSpent())
-            body = exchange.BodyCollector()
-            sent = await self._send(ctx, endpoint, body)
+            sent = await self._send(ctx, endpoint)
             if sent.is_ok():
-                last_reply = _Reply(sent.ok, body)
-                if not _may_retry_server_error(ctx, sent.ok):
+                last_reply = sent.ok
+                if not _may_retry_server_error(ctx, sent.ok.status):
                     return _finish(ctx, last_reply, error)
             elif not _may_retry_failure(ctx, sent.error):
                 return _finish(ctx, last_reply, sent.error)
@@ -186,19 +188,22 @@
         self,
         ctx: context.ForwardContext,
         endpoint: forwarding.Endpoint,
-        body: exchange.BodyCollector,
-    ) -> request_sender.Sent:
+    ) -> _Sent:
         self._limits.take(endpoint.key)
         record = self._stats.call(endpoint)
         record.in_progress += 1
         started_at = ctx.now()
         failed: bool | None = True
         try:
-            async with asyncio.timeout(_attempt_timeout_s(ctx)):
+            async with asyncio.timeout(_attempt_timeout_s(ctx)) as limit:
+                # No other attempt may follow one whose answer is passed on.
+                answer = answer_buffer.AnswerBuffer(
+                    ctx, lambda: limit.reschedule(None)
+                )
                 options = wire.SendOptions(max(0.0, ctx.remaining_s()))
-                sent = await self._sender.send(ctx, endpoint, options, body)
+                sent = await self._sender.send(ctx, endpoint, options, answer)
             failed = _is_endpoint_failure(sent)
-            return sent
+            return sent.map(lambda head: _Reply(head.status, answer))
         except TimeoutError:
             return expression.Error(endpoint_errors.EndpointLost(endpoint.id))
         except asyncio.CancelledError:
@@ -221,19 +226,15 @@
     """Returns the last complete answer to the caller, or else the error."""
     if reply is None:
         return base.fail(error)
-    head = reply.head
-    ctx.status = head.status
-    ctx.answer.send_complete(
-        head.status, head.reason, head.fields, reply.body.body
-    )
+    reply.answer.send()
     return base.OK
 
 
-def _may_retry_server_error(
-    ctx: context.ForwardContext, head: forwarding.AnswerHead
-) -> bool:
+def _may_retry_server_error(ctx: context.ForwardContext, status: int) -> bool:
     """Returns whether a server error may be retried at another endpoint."""
-    if head.status < MIN_SERVER_ERROR_STATUS or not ctx.route.may_retry():
+    if status < MIN_SERVER_ERROR_STATUS or not ctx.route.may_retry():
+        return False
+    if ctx.answer.started:
         return False
     has_time = ctx.remaining_s() >= MIN_TIME_LEFT_SHARE * ctx.route.timeout_s
     return has_time and ctx.sends < ctx.route.max_attempts
@@ -260,7 +261,7 @@
 def _may_retry_failure(
     ctx: context.ForwardContext, error: errors.SeamError
 ) -> bool:
-    if ctx.remaining_s() <= 0:
+    if ctx.remaining_s() <= 0 or ctx.answer.started:
         return False
     if isinstance(error, endpoint_errors.EndpointUnreachable):
         return True
--- a/packages/seam_node/seam_node/forward/filters/decode.py
+++ b/packages/seam_node/seam_node/forward/filters/decode.py
@@ -103,7 +103,7 @@
                 ctx.outcome = messages.Outcome.GONE
             return base.fail(sent.error)
         rate.finish()
-        stream_relay.end(sent.ok)
+        stream_relay.end()
         return base.OK
 
     def _record(self, ctx: context.ForwardContext, failed: bool) -> None:
--- a/packages/seam_policy/seam_policy/memory_budget.py
+++ b/packages/seam_policy/seam_policy/memory_budget.py
@@ -1,9 +1,9 @@
-"""Decides whether an instance has the memory for another request's body.
+"""Decides whether an instance has memory for more bytes of its callers.
 
-The bodies that are held at once are bounded by what the rest of the process
-leaves of its memory. Small requests go on being served when there is no room
-for large ones. This handles many large bodies at once, as after the loss of
-other instances.
+Those that are held at once, of requests and of answers, are bounded by what the
+rest of the process leaves of its memory. Small requests go on being served when
+there is no room for large ones. This handles many large bodies at once, as
+after the loss of other instances.
 """
 
 USABLE_SHARE = 0.75
@@ -12,20 +12,23 @@
 ASSUMED_BASE_BYTES = 64 * 1024 * 1024
 """Memory of the process without bodies, until it was measured."""
 SMALL_BYTES = 64 * 1024
-"""Size up to which a body counts as small."""
+"""Size up to which a request or an answer counts as small."""
 SMALL_SHARE = 0.1
-"""Share of the memory for bodies that only small ones may use."""
+"""Share of the memory that only small ones may use."""
+MIN_SMALL_BYTES = 2 * 1024 * 1024
+"""Memory for small ones beyond what the process leaves. To refuse them would
+free nothing."""
 
 
 class MemoryBudget:
-    """Counts the bytes of bodies against the memory of the process."""
+    """Counts callers' bytes against the memory of the process."""
 
     def __init__(self, limit_bytes: int):
         """Takes the memory beyond which the process is killed."""
         self._limit_bytes = limit_bytes
         self._base_bytes = ASSUMED_BASE_BYTES
         self.held_bytes = 0
-        """Bytes of bodies that there are, or that memory is kept for."""
+        """Bytes that are there, or that memory is kept for."""
         self._present_bytes = 0
 
     def note_private(self, private_bytes: int) -> None:
@@ -33,24 +36,29 @@
         self._base_bytes = max(0, private_bytes - self._present_bytes)
 
     def note_arrived(self, size: int) -> None:
-        """Records bytes of a body that was counted before."""
+        """Records that bytes are there that were counted before."""
         self._present_bytes += size
 
     def total_bytes(self) -> int:
-        """Returns the memory for all bodies together."""
+        """Returns what the process leaves for all bytes of callers."""
         usable = int(self._limit_bytes * USABLE_SHARE)
         return max(0, usable - self._base_bytes)
 
-    def fits(self, size: int) -> bool:
-        """Returns whether there is room for a body of a size now."""
-        return self.held_bytes + size <= self._allowed(size)
+    def fits(self, size: int, whole_size: int) -> bool:
+        """Returns whether there is room for more bytes of something now.
 
-    def can_ever_fit(self, size: int) -> bool:
+        Args:
+            size: the bytes.
+            whole_size: all bytes of the request or answer, as far as known.
+        """
+        return self.held_bytes + size <= self._allowed(whole_size)
+
+    def can_ever_fit(self, size: int, whole_size: int) -> bool:
         """Returns whether there would be room if nothing else was held."""
-        return size <= self._allowed(size)
+        return size <= self._allowed(whole_size)
 
     def take(self, size: int) -> None:
-        """Counts a body, or a part of one, that is held from now on."""
+        """Counts bytes that are held from now on."""
         self.held_bytes += size
 
     def release(self, size: int, arrived: int) -> None:
@@ -58,6 +66,8 @@
         self.held_bytes -= size
         self._present_bytes -= arrived
 
-    def _allowed(self, size: int) -> int:
+    def _allowed(self, whole_size: int) -> int:
         total = self.total_bytes()
-        return total if size <= SMALL_BYTES else int(total * (1 - SMALL_SHARE))
+        if whole_size <= SMALL_BYTES:
+            return max(total, MIN_SMALL_BYTES)
+        return int(total * (1 - SMALL_SHARE))
