Keep slow bodies and answers from taking all memory of an instance

Two callers that sent the heads of bodies of 3 MB and then nothing kept 90% of the room for up to 20 s; all other large bodies were refused meanwhile (new test, 503 before). A body that still arrives after 1 s now counts as slow. Once another one waits for room and the slow ones hold over half of it, the oldest is refused; without others they are read as before (second test).

Answers may hold at most half of the room, the others are passed on as they arrive. So callers that read slowly leave room for bodies.

Ruled out: a shorter time for a body to arrive (it cuts slow, sound callers without need); refusing the largest (one that is nearly there would lose more than one that has just begun to drip).

--- a/packages/seam_node/seam_node/forward/callers/caller_memory.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -42,6 +42,7 @@
         self._measure = measure
         self._waiting: list[_Waiting] = []
         self._numbers = itertools.count()
+        self._arriving: dict[BodyHold, memory_budget.Arriving] = {}
         self._task: asyncio.Task | None = None
         self.refused = 0
         """Requests that were refused for want of memory, since the start."""
@@ -80,6 +81,9 @@
             return True
         if not self._budget.can_ever_fit(size, whole_size):
             return False
+        self._drop_slow()
+        if self.take(size, whole_size):
+            return True
         admitted = asyncio.get_running_loop().create_future()
         waiting = _Waiting(size, whole_size, next(self._numbers), admitted)
         bisect.insort(self._waiting, waiting)
@@ -111,6 +115,37 @@
         self._budget.release(size, arrived)
         self._admit()
 
+    def take_answer(self, size: int, whole_size: int) -> bool:
+        """Takes memory for bytes of an answer if there is room."""
+        if not self._budget.fits_answer(size, whole_size):
+            return False
+        self._budget.take_answer(size)
+        return True
+
+    def release_answer(self, size: int) -> None:
+        """Gives memory of an answer back and admits those that wait."""
+        self._budget.release_answer(size)
+        self._admit()
+
+    def set_arriving(self, hold: "BodyHold", size: int, since: float) -> None:
+        """Records that a body arrives, with the memory that it has."""
+        self._arriving[hold] = memory_budget.Arriving(size, since)
+
+    def end_arriving(self, hold: "BodyHold") -> None:
+        """Records that a body has arrived, or does not any more."""
+        self._arriving.pop(hold, None)
+
+    def _drop_slow(self) -> None:
+        """Refuses slow bodies that keep the memory from others."""
+        now = asyncio.get_running_loop().time()
+        while self._arriving:
+            slow = self._budget.slow_to_drop(self._arriving.values(), now)
+            if slow is None:
+                return
+            hold = next(k for k, v in self._arriving.items() if v is slow)
+            self.end_arriving(hold)
+            hold.drop()
+
     def _admit(self) -> None:
         while self._waiting:
             first = self._waiting[0]
@@ -127,27 +162,74 @@
             await asyncio.sleep(MEASURE_INTERVAL_S)
 
 
-class MemoryHold:
-    """The memory that the body of one request or answer takes."""
+class HeadHold:
+    """The memory of one request's head, which has arrived."""
 
     def __init__(self, memory: CallerMemory):
         """Holds nothing yet."""
         self._memory = memory
         self._bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Takes memory; returns whether there was room."""
+        if not self._memory.take(size, size):
+            return False
+        self._memory.note_arrived(size)
+        self._bytes = size
+        return True
+
+    def release(self) -> None:
+        """Gives it back."""
+        size, self._bytes = self._bytes, 0
+        if size:
+            self._memory.release(size, size)
+
+
+class AnswerHold:
+    """The memory of one answer, as far as it is held."""
+
+    def __init__(self, memory: CallerMemory):
+        """Holds nothing yet."""
+        self._memory = memory
+        self._bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Takes memory for bytes; returns whether there was room."""
+        if not self._memory.take_answer(size, self._bytes + size):
+            return False
+        self._bytes += size
+        return True
+
+    def release(self) -> None:
+        """Gives all of it back."""
+        size, self._bytes = self._bytes, 0
+        if size:
+            self._memory.release_answer(size)
+
+
+class BodyHold:
+    """The memory that one request's body takes."""
+
+    def __init__(self, memory: CallerMemory, drop: Callable[[], None]):
+        """Holds nothing yet; `drop` refuses the request."""
+        self._memory = memory
+        self.drop = drop
+        self._since = asyncio.get_running_loop().time()
+        self._bytes = 0
         self._arrived = 0
 
     async def take_soon(self, size: int) -> bool:
         """Takes more memory; returns whether there was room in time."""
         if not await self._memory.take_soon(size, self._bytes + size):
             return False
-        self._bytes += size
+        self._add(size)
         return True
 
     def take(self, size: int) -> bool:
         """Takes more memory if there is room at once."""
         if not self._memory.take(size, self._bytes + size):
             return False
-        self._bytes += size
+        self._add(size)
         return True
 
     def note_arrived(self, size: int) -> None:
@@ -155,9 +237,18 @@
         self._arrived += size
         self._memory.note_arrived(size)
 
+    def note_whole(self) -> None:
+        """Records that the whole body has arrived."""
+        self._memory.end_arriving(self)
+
     def release(self) -> None:
         """Gives all of it back."""
+        self._memory.end_arriving(self)
         size, self._bytes = self._bytes, 0
         arrived, self._arrived = self._arrived, 0
         if size or arrived:
             self._memory.release(size, arrived)
+
+    def _add(self, size: int) -> None:
+        self._bytes += size
+        self._memory.set_arriving(self, self._bytes, self._since)
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -40,7 +40,7 @@
     def __init__(
         self,
         conn: http1connection.HTTP1Connection,
-        hold: caller_memory.MemoryHold,
+        hold: caller_memory.AnswerHold,
     ):
         """Takes the request's connection and the memory of the answer."""
         self._conn = conn
@@ -116,14 +116,8 @@
         self.finish()
 
     def take_memory(self, size: int) -> bool:
-        """Takes memory for bytes that are held until the answer has been sent.
-
-        They have arrived already, those of the request's head included.
-        """
-        if not self._hold.take(size):
-            return False
-        self._hold.note_arrived(size)
-        return True
+        """Takes memory for bytes that are held until the answer is sent."""
+        return self._hold.take(size)
 
     def release_memory(self) -> None:
         """Gives the memory of the answer back."""
@@ -165,7 +159,7 @@
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         arrived_at: float,
-        hold: caller_memory.MemoryHold,
+        hold: caller_memory.BodyHold,
     ):
         """Takes the head of a request, its arrival time and its memory."""
         self.hold = hold
@@ -216,8 +210,9 @@
         self._server = caller_server
         self._conn = conn
         self._answer = ConnectionAnswer(
-            conn, caller_memory.MemoryHold(caller_server.memory)
+            conn, caller_memory.AnswerHold(caller_server.memory)
         )
+        self._head_hold = caller_memory.HeadHold(caller_server.memory)
         self._request: RawRequest | None = None
         self._task: asyncio.Task | None = None
         self._refused = False
@@ -230,7 +225,7 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        hold = caller_memory.MemoryHold(self._server.memory)
+        hold = caller_memory.BodyHold(self._server.memory, self._refuse)
         self._request = RawRequest(
             start_line, headers, self._server.now(), hold
         )
@@ -239,7 +234,7 @@
             # The HTTP server refuses it.
             return None
         head_size = _head_size(headers)
-        has_room = self._answer.take_memory(head_size)
+        has_room = self._head_hold.take(head_size)
         if head_size > SMALL_HEAD_BYTES and not has_room:
             self._refuse()
             return None
@@ -263,6 +258,7 @@
         if self._refused:
             self._answer.finish()
             return
+        self._request.hold.note_whole()
         self._task = asyncio.ensure_future(self._run())
         self._server.running.add(self._task)
         self._task.add_done_callback(self._server.running.discard)
@@ -270,24 +266,26 @@
 
     def on_connection_close(self) -> None:
         self._request.hold.release()
-        self._answer.release_memory()
+        self._head_hold.release()
         self._on_disconnect()
 
     async def _admit(self, size: int, chunk: bytes = b"") -> None:
         """Reads no further until there is memory, or refuses the request."""
         hold = self._request.hold
-        if await hold.take_soon(size):
-            if chunk:
-                self._request.append(chunk)
-            else:
-                self._request.expect(size)
-            return
-        self._refuse()
+        has_room = await hold.take_soon(size)
+        if self._refused:
+            hold.release()
+        elif not has_room:
+            self._refuse()
+        elif chunk:
+            self._request.append(chunk)
+        else:
+            self._request.expect(size)
 
     def _refuse(self) -> None:
         self._refused = True
         self._request.drop_body()
-        self._answer.release_memory()
+        self._head_hold.release()
         self._server.memory.refused += 1
         self._server.refuse(self._answer)
         if "Expect" in self._request.headers:
@@ -305,6 +303,7 @@
             await answer.deliver()
         finally:
             self._request.hold.release()
+            self._head_hold.release()
             answer.release_memory()
             if not answer.ended:
                 answer.abort()
--- a/packages/seam_policy/seam_policy/memory_budget.py
+++ b/packages/seam_policy/seam_policy/memory_budget.py
@@ -6,6 +6,10 @@
 after the loss of other instances.
 """
 
+from collections.abc import Iterable
+
+import attrs
+
 USABLE_SHARE = 0.75
 """Share of the memory limit that is used on purpose. The rest is for what the
 process needs for many connections, until that is measured."""
@@ -18,6 +22,21 @@
 MIN_SMALL_BYTES = 2 * 1024 * 1024
 """Memory for small ones beyond what the process leaves. To refuse them would
 free nothing."""
+ANSWER_SHARE = 0.5
+"""Share of the memory for answers, which are passed on beyond it."""
+SLOW_BODY_S = 1.0
+"""Time after which a body that still arrives counts as slow."""
+SLOW_SHARE = 0.5
+"""Share of the memory that slow bodies keep when others wait for it."""
+
+
+@attrs.frozen(eq=False)
+class Arriving:
+    """A body that memory is kept for and that is still arriving."""
+
+    size: int
+    since: float
+    """Time of the request's head, in seconds."""
 
 
 class MemoryBudget:
@@ -30,6 +49,7 @@
         self.held_bytes = 0
         """Bytes that are there, or that memory is kept for."""
         self._present_bytes = 0
+        self._answer_bytes = 0
 
     def note_private(self, private_bytes: int) -> None:
         """Records the measured private memory of the process."""
@@ -53,6 +73,24 @@
         """
         return self.held_bytes + size <= self._allowed(whole_size)
 
+    def fits_answer(self, size: int, whole_size: int) -> bool:
+        """Returns whether there is room for more bytes of an answer now."""
+        most = self.total_bytes() * ANSWER_SHARE
+        return self._answer_bytes + size <= most and self.fits(size, whole_size)
+
+    def slow_to_drop(
+        self, arriving: Iterable[Arriving], now: float
+    ) -> Arriving | None:
+        """Returns the oldest slow body if those have more than their share.
+
+        Its caller is refused, so that a few slow ones do not keep the memory
+        from all others.
+        """
+        slow = [each for each in arriving if now - each.since > SLOW_BODY_S]
+        if sum(each.size for each in slow) <= SLOW_SHARE * self.total_bytes():
+            return None
+        return min(slow, key=lambda each: each.since, default=None)
+
     def can_ever_fit(self, size: int, whole_size: int) -> bool:
         """Returns whether there would be room if nothing else was held."""
         return size <= self._allowed(whole_size)
@@ -66,6 +104,17 @@
         self.held_bytes -= size
         self._present_bytes -= arrived
 
+    def take_answer(self, size: int) -> None:
+        """Counts bytes of an answer, which have arrived."""
+        self.take(size)
+        self.note_arrived(size)
+        self._answer_bytes += size
+
+    def release_answer(self, size: int) -> None:
+        """Ends the count of bytes of an answer."""
+        self.release(size, size)
+        self._answer_bytes -= size
+
     def _allowed(self, whole_size: int) -> int:
         total = self.total_bytes()
         if whole_size <= SMALL_BYTES:
--- a/tests/seam_node/forward/callers/test_answer_buffer.py
+++ b/tests/seam_node/forward/callers/test_answer_buffer.py
@@ -130,7 +130,7 @@
         caller.send("/write/x")
         await world.until(lambda: world.node.memory.held_bytes > SIZE)
         await holds_nothing(world)
-        assert not world.node.caller_server.running
+        await world.until(lambda: not world.node.caller_server.running)
         with pytest.raises(asyncio.IncompleteReadError):
             await caller.read()
 
--- a/tests/seam_node/forward/callers/test_caller_memory.py
+++ b/tests/seam_node/forward/callers/test_caller_memory.py
@@ -131,6 +131,51 @@
     forward_world.run_scenario(scenario)
 
 
+async def send_slowly(world):
+    """Sends the head of a large body and the first bytes of it."""
+    caller = await world.connect()
+    caller.writer.write(
+        b"POST /write/1 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: c-1\r\n"
+        b"Content-Length: %d\r\n\r\nxxx" % SIZE
+    )
+    return caller
+
+
+def test_slow_bodies_do_not_keep_the_memory_from_others():
+    async def scenario(world):
+        plain = await world.endpoint("e-1")
+        limit_memory(world)
+        slow = [await send_slowly(world) for _ in range(2)]
+        await world.until(lambda: holds_bodies(world, 2))
+        await asyncio.sleep(1.1)
+        response = await world.request("/write/2", body=b"y" * SIZE)
+        assert response.status == 200
+        assert world.node.memory.refused == 1
+        # The oldest was refused; the other one is served, slow as it is.
+        assert (await slow[0].read()).status == 503
+        slow[1].writer.write(b"x" * (SIZE - 3))
+        assert (await slow[1].read()).status == 200
+        assert [len(each.body) for each in plain.ran] == [SIZE, SIZE]
+        await world.until(lambda: world.node.memory.held_bytes == 0)
+
+    forward_world.run_scenario(scenario)
+
+
+def test_slow_bodies_that_nobody_waits_for_are_read():
+    async def scenario(world):
+        await world.endpoint("e-1")
+        limit_memory(world)
+        slow = [await send_slowly(world) for _ in range(2)]
+        await asyncio.sleep(1.1)
+        for caller in slow:
+            caller.writer.write(b"x" * (SIZE - 3))
+        for caller in slow:
+            assert (await caller.read()).status == 200
+        assert world.node.memory.refused == 0
+
+    forward_world.run_scenario(scenario)
+
+
 def test_caller_that_asks_first_is_told_before_it_sends():
     async def scenario(world):
         await hold_back_runs(world)
