Spend less on small requests, answers and pauses that are not there

- The HTTP server's time limit for a body runs each body in a task of its own.
A timer does the same.
- Small bodies, answers (16 KB) and heads (4 KB) are not counted one by one, nor let go early; the process's measured memory has them.
- No set is built of endpoints that leave or pause while none does.
- Free memory up to 2 MB is kept for small blocks.

--- a/packages/seam_node/seam_node/adapters/process_memory.py
+++ b/packages/seam_node/seam_node/adapters/process_memory.py
@@ -11,7 +11,11 @@
 
 _M_MMAP_THRESHOLD = -3
 """Option of the C library, `malloc.h`."""
+_M_TRIM_THRESHOLD = -1
 _LARGE_BLOCK_BYTES = 128 * 1024
+_KEPT_BYTES = 2 * 1024 * 1024
+"""Free memory that is kept for small blocks. Less of it would be given back and
+taken anew with every few requests."""
 
 
 def return_large_blocks() -> None:
@@ -21,7 +25,9 @@
     so the memory of bodies that are gone.
     """
     with contextlib.suppress(AttributeError):
-        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
+        libc = ctypes.CDLL(None)
+        libc.mallopt(_M_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
+        libc.mallopt(_M_TRIM_THRESHOLD, _KEPT_BYTES)
 
 
 def private_bytes() -> int | None:
--- a/packages/seam_node/seam_node/forward/callers/answer_buffer.py
+++ b/packages/seam_node/seam_node/forward/callers/answer_buffer.py
@@ -13,6 +13,9 @@
 from seam_node.forward.callers import context
 from seam_node.forward.endpoints import exchange
 
+SMALL_ANSWER_BYTES = 16 * 1024
+"""Size up to which an answer is not counted."""
+
 
 class AnswerBuffer(exchange.Receiver):
     """Receives one answer for a caller.
@@ -20,20 +23,24 @@
     Bytes of an answer that may not reach the caller are dropped.
     """
 
-    def __init__(
-        self,
-        ctx: context.ForwardContext,
-        on_passed: Callable[[], None] = lambda: None,
-    ):
-        """Takes the request, and a callback for the start of the answer."""
+    def __init__(self, ctx: context.ForwardContext):
+        """Takes the request."""
         self._ctx = ctx
-        self._on_passed = on_passed
+        self.on_passed: Callable[[], None] | None = None
+        """Called if the answer begins to be passed on."""
         self._head: forwarding.AnswerHead | None = None
         self._chunks: list[bytes] = []
         self._size = 0
+        self._counted = 0
+        """Bytes that memory was taken for."""
         self._is_passed = False
         """Whether the caller gets the answer as it arrives."""
 
+    @property
+    def status(self) -> int:
+        """The status of the answer."""
+        return self._head.status
+
     def head(self, head: forwarding.AnswerHead) -> None:
         """Lets the request's body go if it may not be sent again."""
         self._head = head
@@ -54,7 +61,10 @@
         if not self.can_be_sent():
             return None
         self._chunks.append(chunk)
-        if self._ctx.answer.take_memory(len(chunk)):
+        if self._size <= SMALL_ANSWER_BYTES:
+            return None
+        uncounted, self._counted = self._size - self._counted, self._size
+        if self._ctx.answer.take_memory(uncounted):
             return None
         return self._pass_on()
 
@@ -82,7 +92,8 @@
     def _pass_on(self) -> Awaitable[None]:
         ctx = self._ctx
         self._is_passed = True
-        self._on_passed()
+        if self.on_passed is not None:
+            self.on_passed()
         ctx.release_body()
         ctx.status = self._head.status
         ctx.answer.start(self._head)
--- a/packages/seam_node/seam_node/forward/callers/caller_memory.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_memory.py
@@ -30,6 +30,7 @@
         self,
         budget: memory_budget.MemoryBudget,
         measure: Callable[[], int | None],
+        now: Callable[[], float],
     ):
         """Creates an empty memory.
 
@@ -37,7 +38,9 @@
             budget: decides what fits.
             measure: returns the private memory of the process in bytes, or
                 None if it is unknown.
+            now: the clock.
         """
+        self._now = now
         self._budget = budget
         self._measure = measure
         self._waiting: list[_Waiting] = []
@@ -137,9 +140,10 @@
 
     def _drop_slow(self) -> None:
         """Refuses slow bodies that keep the memory from others."""
-        now = asyncio.get_running_loop().time()
         while self._arriving:
-            slow = self._budget.slow_to_drop(self._arriving.values(), now)
+            slow = self._budget.slow_to_drop(
+                self._arriving.values(), self._now()
+            )
             if slow is None:
                 return
             hold = next(k for k, v in self._arriving.items() if v is slow)
@@ -210,11 +214,19 @@
 class BodyHold:
     """The memory that one request's body takes."""
 
-    def __init__(self, memory: CallerMemory, drop: Callable[[], None]):
-        """Holds nothing yet; `drop` refuses the request."""
+    def __init__(
+        self, memory: CallerMemory, since: float, drop: Callable[[], None]
+    ):
+        """Holds nothing yet.
+
+        Args:
+            memory: where memory is taken from.
+            since: arrival time of the request's head.
+            drop: refuses the request, to get its memory back.
+        """
         self._memory = memory
+        self._since = since
         self.drop = drop
-        self._since = asyncio.get_running_loop().time()
         self._bytes = 0
         self._arrived = 0
 
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -18,7 +18,8 @@
 SMALL_BODY_BYTES = 64 * 1024
 """Size up to which a body is copied once, so that it can't be changed."""
 SMALL_HEAD_BYTES = 4 * 1024
-"""Size up to which a head is read whether there is memory for it or not."""
+"""Size up to which a head is read whether there is memory for it or not. It is
+not counted, but measured with the rest of the process."""
 MAX_SIZE_DIGITS = 15
 MAX_BODY_S = 20.0
 """Longest time in which a body arrives; no caller waits longer."""
@@ -219,23 +220,26 @@
         """Whether there was no memory; the body is then dropped as it comes."""
         self._is_sized = False
         """Whether the body's length is known and has been taken."""
+        self._body_timer: asyncio.TimerHandle | None = None
 
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        hold = caller_memory.BodyHold(self._server.memory, self._refuse)
-        self._request = RawRequest(
-            start_line, headers, self._server.now(), hold
-        )
+        now = self._server.now()
+        hold = caller_memory.BodyHold(self._server.memory, now, self._refuse)
+        self._request = RawRequest(start_line, headers, now, hold)
         size = _body_size(headers)
         if size > self._server.max_body_bytes:
             # The HTTP server refuses it.
             return None
+        if size or "Transfer-Encoding" in headers:
+            self._body_timer = asyncio.get_running_loop().call_later(
+                MAX_BODY_S, self._conn.close
+            )
         head_size = _head_size(headers)
-        has_room = self._head_hold.take(head_size)
-        if head_size > SMALL_HEAD_BYTES and not has_room:
+        if head_size > SMALL_HEAD_BYTES and not self._head_hold.take(head_size):
             self._refuse()
             return None
         self._is_sized = size > 0
@@ -255,6 +259,7 @@
         return self._admit(len(chunk), chunk)
 
     def finish(self) -> None:
+        self._stop_body_timer()
         if self._refused:
             self._answer.finish()
             return
@@ -265,6 +270,7 @@
         self._conn.set_close_callback(self._on_disconnect)
 
     def on_connection_close(self) -> None:
+        self._stop_body_timer()
         self._request.hold.release()
         self._head_hold.release()
         self._on_disconnect()
@@ -292,6 +298,10 @@
             # The caller waits for a word before it sends the body.
             self._answer.finish()
 
+    def _stop_body_timer(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+
     def _on_disconnect(self) -> None:
         if self._task is not None:
             self._task.cancel()
@@ -340,7 +350,6 @@
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
             chunk_size=CHUNK_BYTES,
-            body_timeout=MAX_BODY_S,
         )
 
     def start_request(
--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -10,6 +10,9 @@
 from seam_model import forwarding
 from seam_node.forward.fleet import messages
 
+SMALL_BODY_BYTES = 16 * 1024
+"""Size up to which a body is kept until its request ends."""
+
 
 class CallerAnswer(abc.ABC):
     """Sends the answer to one caller."""
@@ -170,7 +173,9 @@
         return tuple(tried) if len(tried) >= self.route.max_attempts else ()
 
     def release_body(self) -> None:
-        """Lets the body go, as the request will not be sent again."""
+        """Lets a large body go, as the request will not be sent again."""
+        if len(self.req.body) <= SMALL_BODY_BYTES:
+            return
         self.req = attrs.evolve(self.req, body=b"")
         if self.on_body_released is not None:
             self.on_body_released()
--- a/packages/seam_node/seam_node/forward/endpoints/availability.py
+++ b/packages/seam_node/seam_node/forward/endpoints/availability.py
@@ -70,7 +70,7 @@
         self, call: forwarding.EndpointCall, head: forwarding.AnswerHead
     ) -> None:
         """Records what the answer to a call says of the endpoint."""
-        if head.misdirected:
+        if head.misdirected or not (head.leaving or head.pause_s is not None):
             return
         key = call.endpoint_key
         source = f"{call.method} {call.target[:MAX_SOURCE_CHARS]}"
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -190,8 +190,9 @@
         head = None
         try:
             conn = _write(stream, call)
-            # The body may be large, and is not needed any more here.
-            call = attrs.evolve(call, body=b"")
+            if len(call.body) > MAX_JOINED_BODY_BYTES:
+                # It is not needed any more here.
+                call = attrs.evolve(call, body=b"")
             head = await self._read(conn, stream, call, receiver)
         except iostream.StreamClosedError:
             head = None
--- a/packages/seam_node/seam_node/forward/filters/call.py
+++ b/packages/seam_node/seam_node/forward/filters/call.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 
-import attrs
 import expression
 
 from seam_model import endpoint_errors
@@ -38,17 +38,6 @@
 """Upper bound of Retry-After, as a share of the call's remaining time."""
 
 
-@attrs.frozen
-class _Reply:
-    """A complete answer that may be returned to the caller."""
-
-    status: int
-    answer: answer_buffer.AnswerBuffer
-
-
-_Sent = expression.Result[_Reply, endpoint_errors.EndpointError]
-
-
 class CallFilter(base.ForwardFilter):
     """Sends plain calls, the last filter of their chain.
 
@@ -90,7 +79,7 @@
     ) -> base.Result:
         """Sends the call until it succeeds or no retry is allowed."""
         del proceed
-        last_reply: _Reply | None = None
+        last_reply: answer_buffer.AnswerBuffer | None = None
         error: errors.SeamError = errors.NoEndpoint(ctx.service.name)
         while True:
             usable = self._usable(ctx)
@@ -100,10 +89,11 @@
                 return _finish(ctx, last_reply, error)
             if ctx.sends and not self._sender.take_retry(ctx):
                 return _finish(ctx, last_reply, errors.RetryBudgetSpent())
-            sent = await self._send(ctx, endpoint)
+            answer = answer_buffer.AnswerBuffer(ctx)
+            sent = await self._send(ctx, endpoint, answer)
             if sent.is_ok():
-                last_reply = sent.ok
-                if not _may_retry_server_error(ctx, sent.ok.status):
+                last_reply = answer
+                if not _may_retry_server_error(ctx, answer.status):
                     return _finish(ctx, last_reply, error)
             elif not _may_retry_failure(ctx, sent.error):
                 return _finish(ctx, last_reply, sent.error)
@@ -188,7 +178,8 @@
         self,
         ctx: context.ForwardContext,
         endpoint: forwarding.Endpoint,
-    ) -> _Sent:
+        answer: answer_buffer.AnswerBuffer,
+    ) -> request_sender.Sent:
         self._limits.take(endpoint.key)
         record = self._stats.call(endpoint)
         record.in_progress += 1
@@ -197,13 +188,11 @@
         try:
             async with asyncio.timeout(_attempt_timeout_s(ctx)) as limit:
                 # No other attempt may follow one whose answer is passed on.
-                answer = answer_buffer.AnswerBuffer(
-                    ctx, lambda: limit.reschedule(None)
-                )
+                answer.on_passed = functools.partial(limit.reschedule, None)
                 options = wire.SendOptions(max(0.0, ctx.remaining_s()))
                 sent = await self._sender.send(ctx, endpoint, options, answer)
             failed = _is_endpoint_failure(sent)
-            return sent.map(lambda head: _Reply(head.status, answer))
+            return sent
         except TimeoutError:
             return expression.Error(endpoint_errors.EndpointLost(endpoint.id))
         except asyncio.CancelledError:
@@ -220,13 +209,13 @@
 
 def _finish(
     ctx: context.ForwardContext,
-    reply: _Reply | None,
+    reply: answer_buffer.AnswerBuffer | None,
     error: errors.SeamError,
 ) -> base.Result:
     """Returns the last complete answer to the caller, or else the error."""
     if reply is None:
         return base.fail(error)
-    reply.answer.send()
+    reply.send()
     return base.OK
 
 
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -112,6 +112,7 @@
         self.memory = caller_memory.CallerMemory(
             memory_budget.MemoryBudget(settings.capacity.memory_bytes()),
             process_memory.private_bytes,
+            self._now,
         )
         self.caller_server = caller_server.CallerServer(
             self._handler.handle,
--- a/packages/seam_node/seam_node/forward/placement/placement.py
+++ b/packages/seam_node/seam_node/forward/placement/placement.py
@@ -121,12 +121,14 @@
         Its return time is set then: soon if engines that only another attempt
         may use do not pause.
         """
+        pausing = self._available.pausing()
+        if not pausing:
+            return False
         engines = [
             each.key
             for each in self._endpoints.usable(ctx.service.name)
             if each.stage is forwarding.Stage.DECODE
         ]
-        pausing = self._available.pausing()
         if not pausing.issuperset(ctx.only_keys() or engines) or not engines:
             return False
         if pausing.issuperset(engines):
--- a/packages/seam_node/seam_node/forward/store/catalog_state.py
+++ b/packages/seam_node/seam_node/forward/store/catalog_state.py
@@ -141,7 +141,8 @@
 
     def still_usable(self, key: str) -> bool:
         """Returns whether an incarnation is announced and does not leave."""
-        return self.is_known(key) and not self._leaves(self._current(key))
+        endpoint = self._current(key)
+        return endpoint is not None and not self._leaves(endpoint)
 
     def is_known(self, key: str) -> bool:
         """Returns whether an incarnation is announced, leaving or not."""
@@ -166,6 +167,8 @@
 
     def leaving_keys(self) -> set[str]:
         """Returns the announced endpoints that said that they leave."""
+        if not self._signs.has_leaving:
+            return set()
         return {
             each.key
             for each in self._by_id.values()
--- a/packages/seam_policy/seam_policy/endpoint_signs.py
+++ b/packages/seam_policy/seam_policy/endpoint_signs.py
@@ -62,6 +62,11 @@
             self._leaving.popitem(last=False)
         return True
 
+    @property
+    def has_leaving(self) -> bool:
+        """Whether any endpoint said that it leaves."""
+        return bool(self._leaving)
+
     def leaving(self, key: str) -> Leaving | None:
         """Returns an incarnation's sign that it leaves, or None."""
         return self._leaving.get(key)
