Show what instances that forward do not use, from their logs

Operators could see a leaving, pausing or unreadable endpoint, or an unreadable configuration, only as log lines and gauges, one instance at a time. The product's part that forwards is unchanged.

Ruled out: an address of the forwarding process for this, which every instance would have to serve and operators to reach; the log lines have all of it.

--- /dev/null
+++ b/packages/seam_ctl/seam_ctl/distrust_log.py
@@ -0,0 +1,87 @@
+"""Finds in logs what instances do not use at a time, and why.
+
+That is endpoints, and a configuration that can't be read.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from seam_ctl import log_lines
+
+LEAVES = "leaves"
+PAUSES = "pauses"
+UNREADABLE = "unreadable"
+"""Its object in the store can't be read."""
+CONFIGURATION = "configuration"
+_STARTED = "instance_started"
+_BELIEF_BY_EVENT = {
+    "endpoint_leaving": LEAVES,
+    "endpoint_pausing": PAUSES,
+    "endpoint_unreadable": UNREADABLE,
+    "routes_unreadable": UNREADABLE,
+}
+
+
+@attrs.frozen
+class Belief:
+    """Why one instance does not use something."""
+
+    instance: str
+    name: str
+    """Key or id of an endpoint, or `CONFIGURATION`."""
+    what: str
+    """`LEAVES`, `PAUSES` or `UNREADABLE`."""
+    line: log_lines.LogLine
+    """The line that tells since when and, in `answer_to`, from which answer."""
+
+
+def beliefs(
+    lines: Iterable[log_lines.LogLine], at: float
+) -> tuple[Belief, ...]:
+    """Returns the beliefs of all instances that hold at a time.
+
+    An instance forgets them with its start, those of an endpoint with the end
+    of its incarnation, and that of a configuration with one that can be read.
+    """
+    held: dict[tuple[str, str, str], Belief] = {}
+    for line in sorted(lines, key=lambda each: each.at):
+        if line.at > at:
+            break
+        if line.event == _STARTED:
+            held = {k: v for k, v in held.items() if k[0] != line.instance}
+        elif line.event in ("endpoint_changed", "routes_in_force"):
+            held = {k: v for k, v in held.items() if not _ends(line, v)}
+        elif line.event in _BELIEF_BY_EVENT:
+            what = _BELIEF_BY_EVENT[line.event]
+            name = line.fields.get("endpoint", CONFIGURATION)
+            held[(line.instance, name, what)] = Belief(
+                line.instance, name, what, line
+            )
+    return tuple(each for each in held.values() if not _is_over(each, at))
+
+
+def _ends(change: log_lines.LogLine, belief: Belief) -> bool:
+    """Returns whether a change of the thing ends a belief about it."""
+    name, _, born_ms = belief.name.partition("/")
+    fields = change.fields
+    if change.event == "routes_in_force":
+        is_same = change.instance == belief.instance
+        return is_same and belief.name == CONFIGURATION
+    if change.instance != belief.instance or fields.get("endpoint") != name:
+        return False
+    return (
+        belief.what == UNREADABLE
+        or fields.get("state") == "gone"
+        or fields.get("born_ms") != born_ms
+    )
+
+
+def _is_over(belief: Belief, at: float) -> bool:
+    if belief.what != PAUSES:
+        return False
+    try:
+        pause_s = float(belief.line.fields.get("pause_s", ""))
+    except ValueError:
+        return False
+    return belief.line.at + pause_s <= at
--- a/packages/seam_ctl/seam_ctl/fleet_cmds.py
+++ b/packages/seam_ctl/seam_ctl/fleet_cmds.py
@@ -10,7 +10,9 @@
 
 from seam_ctl import client
 from seam_ctl import config_cmds
+from seam_ctl import distrust_log
 from seam_ctl import exits
+from seam_ctl import log_lines
 from seam_ctl import output
 from seam_ctl import request_log
 from seam_model import admin
@@ -32,8 +34,21 @@
     changes: admin.ChangeList
 
 
-def status(ctx: typer.Context, as_json: output.JsonFlag = False) -> None:
+def status(
+    ctx: typer.Context,
+    as_json: output.JsonFlag = False,
+    logs: Annotated[
+        list[typer.FileText] | None,
+        typer.Option(
+            help="Read log files instead, of instances that forward; - is "
+            "stdin. Prints which endpoints they do not use."
+        ),
+    ] = None,
+) -> None:
     """Prints the status of instances, endpoints and queues."""
+    if logs:
+        _print_beliefs(logs, as_json)
+        return
     fleet_status = output.call_instance(ctx, lambda c: c.status(), as_json)
     if as_json:
         output.print_json(fleet_status)
@@ -41,6 +56,28 @@
         _print_status(fleet_status)
 
 
+def _print_beliefs(files: list[typer.FileText], as_json: bool) -> None:
+    """Prints what is not used at the time of the last line."""
+    lines = log_lines.parse_all(itertools.chain.from_iterable(files))
+    last_at = max((each.at for each in lines), default=0.0)
+    found = distrust_log.beliefs(lines, last_at)
+    if as_json:
+        output.print_json(found)
+        return
+    rows = (
+        (
+            each.instance,
+            each.name,
+            each.what,
+            f"{last_at - each.line.at:.3f}",
+            each.line.fields.get("answer_to", ""),
+        )
+        for each in found
+    )
+    columns = ("instance", "not used", "why", "since s", "from the answer to")
+    output.print_table(columns, rows, "not used")
+
+
 def drain(
     ctx: typer.Context,
     instance: Annotated[str, typer.Argument(help="Name of the instance.")],
--- a/packages/seam_ctl/seam_ctl/request_log.py
+++ b/packages/seam_ctl/seam_ctl/request_log.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-import json
-import re
 
 import attrs
 
+from seam_ctl import distrust_log
+from seam_ctl import log_lines
+
 CONTEXT_BEFORE_S = 5.0
 """Time before a request's first line from which other events are shown."""
 CONTEXT_EVENTS = frozenset(
@@ -28,57 +29,34 @@
     }
 )
 """Events that changed an instance's view of the fleet or its own state."""
-_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _ENDPOINT_EVENTS = frozenset({"endpoint_changed", "stage_ordered"})
 
 
-@attrs.frozen
-class LogLine:
-    """One event logged by one instance."""
-
-    at: float
-    """Unix time in seconds, by the instance's clock."""
-    event: str
-    instance: str
-    fields: dict[str, str]
-
-
 @attrs.frozen
 class RequestLog:
     """The log lines that concern a request, in time order."""
 
     request: str
-    lines: tuple[LogLine, ...]
-
-
-def parse(text: str) -> LogLine | None:
-    """Returns the event in a line of text; None if there is none."""
-    start = text.find("at=")
-    if start < 0:
-        return None
-    fields = {
-        name: _plain(value) for name, value in _PAIR.findall(text[start:])
-    }
-    try:
-        at = float(fields.pop("at"))
-        event = fields.pop("event")
-    except (KeyError, ValueError):
-        return None
-    return LogLine(at, event, fields.pop("instance", ""), fields)
+    lines: tuple[log_lines.LogLine, ...]
 
 
 def collect(request: str, lines: Iterable[str]) -> RequestLog:
-    """Returns all events of a request and the related events around them."""
-    events = [line for line in map(parse, lines) if line is not None]
+    """Returns all events of a request and the related events around them.
+
+    Among them are those that tell which endpoints its instances left alone.
+    """
+    events = log_lines.parse_all(lines)
     own = [line for line in events if line.fields.get("request") == request]
     if not own:
         return RequestLog(request, ())
-    context = _context(own, events)
+    context = [*_context(own, events), *_left_alone(own, events)]
     ordered = sorted([*own, *context], key=lambda line: line.at)
     return RequestLog(request, tuple(ordered))
 
 
-def _context(own: list[LogLine], events: list[LogLine]) -> Iterator[LogLine]:
+def _context(
+    own: list[log_lines.LogLine], events: list[log_lines.LogLine]
+) -> Iterator[log_lines.LogLine]:
     """Yields `CONTEXT_EVENTS` of the instances that handled the request.
 
     Events of endpoints are included only for the request's endpoints.
@@ -102,10 +80,12 @@
         yield line
 
 
-def _plain(value: str) -> str:
-    if not value.startswith('"'):
-        return value
-    try:
-        return str(json.loads(value))
-    except json.JSONDecodeError:
-        return value
+def _left_alone(
+    own: list[log_lines.LogLine], events: list[log_lines.LogLine]
+) -> Iterator[log_lines.LogLine]:
+    """Yields why endpoints were left alone when the request ended."""
+    instances = {line.instance for line in own}
+    ended_at = max(line.at for line in own)
+    for belief in distrust_log.beliefs(events, ended_at):
+        if belief.instance in instances:
+            yield belief.line
--- a/tests/seam_ctl/test_request_log.py
+++ b/tests/seam_ctl/test_request_log.py
@@ -1,5 +1,6 @@
 """Collecting the log lines of a request."""
 
+from seam_ctl import log_lines
 from seam_ctl import request_log
 from seam_node import logs
 
@@ -44,7 +45,7 @@
 
 
 def test_prefix_before_the_event_is_ignored():
-    parsed = request_log.parse(f"  12.5 host {line(1.0, 'e', request='r')}")
+    parsed = log_lines.parse(f"  12.5 host {line(1.0, 'e', request='r')}")
     assert (parsed.at, parsed.fields["request"]) == (1.0, "r")
 
 
@@ -58,3 +59,16 @@
         odd_id, [line(1.0, "request_ended", request=odd_id)]
     )
     assert collected.lines[0].fields["request"] == odd_id
+
+
+def test_endpoints_left_alone_are_shown_however_long_ago_that_began():
+    lines = [
+        line(1.0, "endpoint_leaving", endpoint="e-2/7", answer_to="GET /a 200"),
+        line(80.0, "endpoint_pausing", endpoint="e-3/7", pause_s=3.0),
+        line(98.0, "endpoint_pausing", endpoint="e-4/7", pause_s=3.0),
+        line(98.0, "endpoint_pausing", "i-2", endpoint="e-5/7", pause_s=9.0),
+        line(100.0, "request_ended", request="r", endpoint="e-1/7"),
+    ]
+    collected = request_log.collect("r", lines).lines
+    shown = [each.fields.get("endpoint") for each in collected]
+    assert shown == ["e-2/7", "e-4/7", "e-1/7"]
