Split the largest two modules by what they are for

The ledger's grants and the forecast of their ends are slot_grants; applying the limits of a configuration, logging a model order and recording a cancelled stream stand beside what they belong to. The instances that forward use none of it.

--- a/packages/seam_node/seam_node/controllers/reaper.py
+++ b/packages/seam_node/seam_node/controllers/reaper.py
@@ -13,6 +13,8 @@
 from seam_model import endpoints
 from seam_model import ids
 from seam_model import peers
+from seam_node import logs
+from seam_node import metrics
 from seam_node.controllers import membership
 from seam_node.controllers import mirror
 from seam_node.ports import engine as engine_port
@@ -80,3 +82,11 @@
         if answer.is_error() or answer.ok is None:
             return False
         return not answer.ok.held
+
+
+def record_cancelled(
+    meter: metrics.Metrics, log: logs.Log, stream: endpoints.HeldStream
+) -> None:
+    """Counts and logs a stream that was cancelled."""
+    meter.stream_reaped()
+    log.event("stream_reaped", request=stream.request_id, owner=stream.owner)
--- a/packages/seam_node/seam_node/controllers/roles.py
+++ b/packages/seam_node/seam_node/controllers/roles.py
@@ -14,6 +14,7 @@
 
 from seam_model import endpoint_errors
 from seam_model import endpoints
+from seam_node import logs
 from seam_node import task
 from seam_node.controllers import lease as lease_module
 from seam_node.ports import clock as clock_port
@@ -178,3 +179,20 @@
         and set(record.models) == set(target.models)
         and set(record.adapters) == set(target.adapters)
     )
+
+
+def log_order(
+    log: logs.Log,
+    record: endpoints.EndpointRecord,
+    order: endpoints.ModelOrder,
+    result: expression.Result,
+) -> None:
+    """Logs an order and what became of it."""
+    log.event(
+        "model_order",
+        engine=record.name,
+        order=order.order_id,
+        role=order.role.value,
+        models=",".join(order.models),
+        outcome="ok" if result.is_ok() else result.error.code,
+    )
--- a/packages/seam_node/seam_node/node.py
+++ b/packages/seam_node/seam_node/node.py
@@ -1,10 +1,10 @@
 """Assembles one entry instance from its ports and settings."""
 
 import asyncio
+import functools
 import random
 
 import attrs
-import expression
 
 from seam_model import admin
 from seam_model import config
@@ -16,6 +16,7 @@
 from seam_node import chains
 from seam_node import entry
 from seam_node import gauges
+from seam_node import limits_in_force
 from seam_node import logs
 from seam_node import metrics
 from seam_node import rules
@@ -30,7 +31,6 @@
 from seam_node.controllers import engines
 from seam_node.controllers import lease
 from seam_node.controllers import membership
-from seam_node.controllers import membership_view
 from seam_node.controllers import mirror
 from seam_node.controllers import observe
 from seam_node.controllers import owner
@@ -299,7 +299,9 @@
             self.config.version,
             self.config.note_peer_version,
         )
-        self.members.subscribe(self._on_view)
+        self.members.subscribe(
+            lambda view: self.directory.update(view.endpoints.values())
+        )
         self.registry = registry.Registry(
             self.members,
             ports.peers,
@@ -361,7 +363,9 @@
             reaper.Reaper(
                 self.members,
                 self.ports.peers,
-                self._on_stream_cancelled,
+                functools.partial(
+                    reaper.record_cancelled, self.metrics, self.log
+                ),
                 self._rules.resume_window_s,
             ),
         )
@@ -409,14 +413,17 @@
                 records, self.roles_demand, self.roles_lease.fence()
             ),
             self.wanted_engines.load_s,
-            self._log_model_order,
+            functools.partial(roles.log_order, self.log),
         )
 
     def _create_drain(self) -> None:
         self.drain = drain.DrainController(
             self.record.name,
             self._on_phase,
-            (self.claims.flush, self._release_lease),
+            (
+                self.claims.flush,
+                functools.partial(self.roles_lease.ask, lease.Release()),
+            ),
         )
 
     def _filter_dependencies(self) -> chains.FilterDependencies:
@@ -461,23 +468,9 @@
         live = self.members.view().live
         return tuple(s.name for s in live if s.name != self.record.name)
 
-    def _on_view(self, view: membership_view.MembershipView) -> None:
-        self.directory.update(view.endpoints.values())
-
     def _on_config(self, cfg: config.FleetConfig) -> None:
         self.log.event("config_in_force", version=cfg.version)
-        names = {rule.scope.workspace for rule in cfg.exceptions} - {""}
-        own = config.resolve(cfg, self._rules.scope(""))
-        self.limiter.configure(
-            _limits(own.workspace),
-            {
-                name: _limits(
-                    config.resolve(cfg, self._rules.scope(name)).workspace
-                )
-                for name in names
-            },
-        )
-        self.budget.configure(own.retry.budget_ratio)
+        limits_in_force.apply(cfg, self._rules, self.limiter, self.budget)
         self.drain.configure(cfg.defaults.drain.refuse_after_s)
         self.owner.tell(owner.Reconfigure())
 
@@ -495,24 +488,6 @@
         key = f"{lease.PREFIX}{ROLES_LEASE}".encode()
         return self.ownership.shard_owner(key) == self.record.name
 
-    async def _release_lease(self) -> None:
-        await self.roles_lease.ask(lease.Release())
-
-    def _log_model_order(
-        self,
-        record: endpoints.EndpointRecord,
-        order: endpoints.ModelOrder,
-        result: expression.Result,
-    ) -> None:
-        self.log.event(
-            "model_order",
-            engine=record.name,
-            order=order.order_id,
-            role=order.role.value,
-            models=",".join(order.models),
-            outcome="ok" if result.is_ok() else result.error.code,
-        )
-
     def _on_fenced(self, request_id: bytes) -> None:
         self.members.spawn(self._stop_relay(request_id))
 
@@ -522,15 +497,3 @@
         )
         if run is not None:
             await run.relay_ended.wait()
-
-    def _on_stream_cancelled(self, stream: endpoints.HeldStream) -> None:
-        self.metrics.stream_reaped()
-        self.log.event(
-            "stream_reaped", request=stream.request_id, owner=stream.owner
-        )
-
-
-def _limits(rule: config.WorkspaceLimits) -> limits.WorkspaceLimits:
-    return limits.WorkspaceLimits(
-        rule.rate_per_s, float(rule.burst), rule.concurrency
-    )
--- a/packages/seam_policy/seam_policy/ledger.py
+++ b/packages/seam_policy/seam_policy/ledger.py
@@ -12,11 +12,10 @@
 from collections.abc import Collection
 import math
 
-import attrs
-
 from seam_policy import estimate
 from seam_policy import hold_estimate
 from seam_policy import reconcile
+from seam_policy import slot_grants
 from seam_policy import slot_queue
 from seam_policy import slot_requests
 
@@ -25,20 +24,6 @@
 _BURST_DEVIATIONS = 1.65
 
 
-@attrs.frozen
-class _Grant:
-    request_id: bytes
-    rank: int
-    workspace: str
-    kv_blocks: int
-    tokens: int
-    """Expected output tokens."""
-    starts_at: float
-    expires_at: float
-    adopted: bool
-    """Whether the grant was added for a stream found at the engine."""
-
-
 class SlotLedger:
     """Grants the slots of one engine; each request gets exactly one decision.
 
@@ -49,7 +34,7 @@
     def __init__(self, limits: slot_requests.LedgerLimits):
         """Creates a ledger with all slots free."""
         self.limits = limits
-        self._grants: dict[bytes, _Grant] = {}
+        self._grants: dict[bytes, slot_grants.Grant] = {}
         self._held_by_rank = [0, 0]
         self._kv_blocks_held = 0
         self._queue = slot_queue.SlotQueue(limits.weights, len(_RANKS))
@@ -318,34 +303,6 @@
 
     # Expected ends
 
-    def _predicted_ends(self, now: float) -> list[tuple[float, int]]:
-        """Returns late ends and KV blocks of streams that are not overdue."""
-        if not self._holds.is_predictable():
-            return []
-        ends = []
-        for grant in self._grants.values():
-            if grant.adopted:
-                continue
-            end = self._holds.late_end_at(grant.starts_at, grant.tokens)
-            if grant.starts_at <= now <= end:
-                ends.append((end, grant.kv_blocks))
-        ends.sort()
-        return ends
-
-    def _expected_hold_times(self, now: float) -> list[float]:
-        """Returns the expected remaining hold time of each grant, sorted."""
-        mean_hold_s = self._holds.mean_s()
-        remaining_times = []
-        for grant in self._grants.values():
-            remaining_s = (
-                grant.starts_at + self._holds.stream_s(grant.tokens) - now
-            )
-            remaining_times.append(
-                remaining_s if remaining_s > 0 else mean_hold_s / 2
-            )
-        remaining_times.sort()
-        return remaining_times
-
     def _grant_delay(
         self, request: slot_requests.SlotRequest, headroom: int, now: float
     ) -> float | None:
@@ -361,7 +318,8 @@
             return None
         horizon = now + min(request.lead_s, self.limits.max_lead_s)
         for ahead, (end, blocks) in enumerate(
-            self._predicted_ends(now), start=1
+            slot_grants.predicted_ends(self._grants.values(), self._holds, now),
+            start=1,
         ):
             if end > horizon or ahead > self.limits.overbook:
                 return None
@@ -391,7 +349,9 @@
         if missing <= 0:
             return 0.0
         lead_s = min(lead_s, self.limits.max_lead_s)
-        remaining_times = self._expected_hold_times(now)
+        remaining_times = slot_grants.expected_hold_times(
+            self._grants.values(), self._holds, now
+        )
         if not remaining_times:
             return max(
                 0.0, self._holds.mean_s() * missing / max(1, self.usable)
@@ -484,7 +444,7 @@
         slowest_s = tokens * self._holds.per_token_s
         slowest_s *= self.limits.slowest_factor
         starts_at = now + start_s
-        self._grants[request_id] = _Grant(
+        self._grants[request_id] = slot_grants.Grant(
             request_id=request_id,
             rank=rank,
             workspace=workspace,
@@ -497,7 +457,7 @@
         self._held_by_rank[rank] += 1
         self._kv_blocks_held += kv_blocks
 
-    def _remove_grant(self, grant: _Grant, now: float) -> None:
+    def _remove_grant(self, grant: slot_grants.Grant, now: float) -> None:
         del self._grants[grant.request_id]
         self._held_by_rank[grant.rank] -= 1
         self._kv_blocks_held -= grant.kv_blocks
@@ -512,7 +472,11 @@
             self._remove_grant(grant, now)
 
     def _update_estimates(
-        self, grant: _Grant, tokens: int, per_token_s: float, now: float
+        self,
+        grant: slot_grants.Grant,
+        tokens: int,
+        per_token_s: float,
+        now: float,
     ) -> None:
         self._holds.add_speed(per_token_s, len(self._grants), now)
         if tokens <= 0:
