--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -9,9 +9,9 @@
 import pytest
 
 from standins import forward_endpoint
+from standins import forward_process
 from standins import forward_world
 from standins import object_store
-from tests.processes import test_forwarding
 
 NAMES = ("one", "two", "three")
 TIMEOUT_S = 40.0
@@ -40,7 +40,7 @@
         return port
 
 
-class Member(test_forwarding.Process):
+class Member(forward_process.Process):
     """One process of the fleet."""
 
     def __init__(self, folder, store_port, name):
--- a/tests/processes/test_memory.py
+++ b/tests/processes/test_memory.py
@@ -4,24 +4,15 @@
 """
 
 import asyncio
-import os
-import pathlib
 
 from processes import test_forwarding
 
 from standins import forward_endpoint
+from standins import forward_process
 
 LIMIT_MB = 150
 ANSWER_BYTES = 4_000_000
 CALLERS = 60
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-def private_mb(process):
-    """Returns the private memory of a process, in MB."""
-    statm = pathlib.Path(f"/proc/{process.process.pid}/statm").read_text()
-    _, resident, shared, *_ = map(int, statm.split())
-    return (resident - shared) * PAGE_BYTES / 1e6
 
 
 async def reply_much(endpoint, received, writer):
@@ -32,7 +23,7 @@
     await writer.drain()
 
 
-class LimitedProcess(test_forwarding.Process):
+class LimitedProcess(forward_process.Process):
     """A process that is told its memory limit."""
 
     def write_settings(self, level="info"):
@@ -42,7 +33,7 @@
 
 
 def run_scenario(tmp_path, monkeypatch, scenario):
-    monkeypatch.setattr(test_forwarding, "Process", LimitedProcess)
+    monkeypatch.setattr(forward_process, "Process", LimitedProcess)
     test_forwarding.run_scenario(tmp_path, scenario)
 
 
@@ -54,13 +45,13 @@
         callers = []
         peak_mb = 0.0
         for _ in range(CALLERS):
-            caller = await test_forwarding.connect(process)
+            caller = await process.connect()
             caller.send("/write/large")
             callers.append(caller)
         for _ in range(40):
             await asyncio.sleep(0.05)
-            peak_mb = max(peak_mb, private_mb(process))
-        other = await test_forwarding.connect(process)
+            peak_mb = max(peak_mb, process.private_mb())
+        other = await process.connect()
         response = await other.request("/write/small")
         assert response.status == 200
         assert peak_mb <= LIMIT_MB
--- a/tests/processes/test_signs.py
+++ b/tests/processes/test_signs.py
@@ -9,9 +9,8 @@
 import os
 import time
 
-from processes import test_forwarding
-
 from standins import forward_endpoint
+from standins import forward_process
 from standins import forward_world
 from standins import object_store
 
@@ -66,7 +65,7 @@
         each.times = []
         await each.start()
         store.put("servers", each.id, entry(*args))
-    process = test_forwarding.Process(tmp_path, server.port)
+    process = forward_process.Process(tmp_path, server.port)
     process.write_settings()
     await process.start()
     try:
@@ -83,7 +82,7 @@
 async def send(process, path, **fields):
     """Sends one request; returns the time and the status of its answer."""
     sent_at = time.monotonic()
-    caller = await test_forwarding.connect(process)
+    caller = await process.connect()
     caller.send(path, **fields)
     response = await caller.read()
     caller.close()
