--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Packages precede tests/, which contains folders of the same names.
 export PYTHONPATH := packages/seam_policy:packages/seam_model:packages/seam_node:packages/seam_ctl:platform:tests:.
 
-.PHONY: demo hold test lint format bench measure slopes soak
+.PHONY: demo hold test lint format bench forward-bench measure slopes soak
 
 .venv/.installed: requirements.txt packages/seam_policy/pyproject.toml packages/seam_model/pyproject.toml packages/seam_node/pyproject.toml packages/seam_ctl/pyproject.toml platform/pyproject.toml
 	python3 -m venv .venv
@@ -32,6 +32,9 @@
 bench: .venv/.installed
 	$(PY) -m bench.speed
 
+forward-bench: .venv/.installed
+	$(PY) -m bench.forward_speed
+
 measure: .venv/.installed
 	$(PY) -m bench.measure
 
