--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -1,6 +1,8 @@
 """Endpoints of the soak, which misbehave on command and remember all runs."""
 
 import asyncio
+import socket
+import struct
 import time
 
 import attrs
@@ -91,12 +93,31 @@
             await writer.drain()
             writer.close()
             return
+        if self.mood == "reset":
+            await self._reset_unframed(whole, writer)
+            return
         writer.write(whole)
         if self.mood == "twice":
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
             writer.write(whole)
 
+    async def _reset_unframed(self, whole, writer):
+        """Sends most of an answer without a length, then resets."""
+        head, _, body = whole.partition(b"\r\n\r\n")
+        fields = [
+            line
+            for line in head.split(b"\r\n")
+            if not line.startswith(b"Content-Length")
+        ]
+        writer.write(b"\r\n".join(fields) + b"\r\n\r\n" + body[:-7])
+        await writer.drain()
+        await asyncio.sleep(EVENT_PAUSE_S)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
     async def _stream(self, received, writer, deadly):
         request_id = received.request_id
         framed = self.mood != "unframed"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 
 from soak import backends
 
+from standins import forward_process
 from standins import forward_world
 from standins import object_store
 from tests.processes import test_fleet
@@ -32,7 +33,8 @@
 class Fleet:
     """Everything that a soak needs; faults act on it."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, root=forward_process.ROOT):
+        self._root = root
         self.store = object_store.ObjectStore()
         self._server = object_store.StoreServer(self.store)
         self._folder = folder
@@ -59,6 +61,7 @@
         for name in NAMES:
             folder = self._folder / name
             member = test_fleet.Member(folder, self._server.port, name)
+            member.root = self._root
             member.write_settings()
             member.accepting = False
             self.members.append(member)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,8 @@
 from soak import faults
 from soak import fleet as soak_fleet
 
+from standins import forward_process
+
 SEEDS = range(1, 1 + int(os.environ.get("SOAK_SEEDS", "1")))
 ONCE_RED_DEADLY_SEEDS = (11, 12)
 """Two engines crash together before anything has started: the part that sound
@@ -37,9 +39,11 @@
 class Soak:
     """One play: callers, faults and what became of the requests."""
 
-    def __init__(self, folder, seed, deadly_share=0.0):
+    def __init__(
+        self, folder, seed, deadly_share=0.0, root=forward_process.ROOT
+    ):
         self.rng = random.Random(seed)
-        self.fleet = soak_fleet.Fleet(folder)
+        self.fleet = soak_fleet.Fleet(folder, root)
         self.counts = collections.Counter()
         self._callers = [
             callers.SoakCaller(self.fleet, self.rng, deadly_share)
--- a/tests/standins/forward_process.py
+++ b/tests/standins/forward_process.py
@@ -39,6 +39,8 @@
 
     def __init__(self, folder, store_port):
         self._folder = folder
+        self.root = ROOT
+        """The checkout whose code runs."""
         self._store_port = store_port
         self.settings = folder / "settings.toml"
         self.output = folder / "output.log"
@@ -51,7 +53,7 @@
     async def start(self, stdout=None):
         env = {
             **os.environ,
-            "PYTHONPATH": os.pathsep.join(str(ROOT / p) for p in PATHS),
+            "PYTHONPATH": os.pathsep.join(str(self.root / p) for p in PATHS),
             "SYCAMORESEAM_CONFIG": str(self.settings),
         }
         with self.output.open("wb") as output:
