Have the soak's endpoints refuse, reset and send late copies

The soak played no second copy of a refusal on a connection that carries the same request again, and no pause of an instance shorter than 1.5 s, so it could not find them.

Instances pause for 20 to 600 ms, between any two calls.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -1,11 +1,10 @@
 """Endpoints of the soak, which misbehave on command and remember all runs."""
 
 import asyncio
-import socket
-import struct
 import time
 
 import attrs
+from soak import tricks
 
 from standins import forward_endpoint
 
@@ -49,9 +48,11 @@
 class Backend(forward_endpoint.Endpoint):
     """An endpoint that follows `mood` for its next requests."""
 
-    def __init__(self, name, stage=""):
+    def __init__(self, name, stage="", played=None):
         super().__init__(name, type(self)._reply)
         self.stage = stage
+        self.tricks = played or tricks.Tricks(None)
+        """What becomes of single requests, besides the mood."""
         self.mood = ""
         self.runs = []
         self.arrivals = []
@@ -60,21 +61,58 @@
         """Requests that were refused and asked for a pause."""
 
     async def _reply(self, received, writer):
+        trick = self.tricks.draw() if self.tricks.share else ""
         if received.target.startswith("/sycamoreseam/") or received.prefills:
-            await forward_endpoint.reply_engine(self, received, writer)
+            await self._reply_apart(received, writer, trick)
             return
         arrival = Arrival(received.request_id, time.monotonic())
         self.arrivals.append(arrival)
         if self.mood in ("refuse", "pause"):
             self._refuse(received, writer, arrival)
             return
+        if trick in tricks.REFUSALS:
+            await self.tricks.refuse(trick, received, writer)
+            return
+        if trick == "reset before work":
+            tricks.reset(writer)
+            return
         deadly = DEADLY in received.headers.get("prompt-prefix", "")
         run = Run(received.request_id, time.monotonic(), deadly)
         self.runs.append(run)
-        if self.stage:
-            await self._stream(received, writer, deadly)
-        else:
-            await self._answer_plain(received, writer)
+        await self._run(received, writer, trick, deadly)
+
+    async def _run(self, received, writer, trick, deadly):
+        await self.tricks.work(trick)
+        if trick == "reset after work":
+            tricks.reset(writer)
+            return
+        with self.tricks.answering(writer):
+            if self.stage:
+                await self._stream(received, writer, deadly)
+            else:
+                await self._answer_plain(received, writer)
+        if trick == "answer, then reset":
+            await writer.drain()
+            tricks.reset(writer)
+        elif trick == "copy an answer":
+            whole = forward_endpoint.answer(
+                received, plain_body(received.request_id)
+            )
+            self.tricks.copy_later(writer, whole)
+
+    async def _reply_apart(self, received, writer, trick):
+        """Answers a prefill, or a call that carries no request."""
+        if trick in tricks.REFUSALS:
+            await self.tricks.refuse(trick, received, writer)
+            return
+        if trick in ("reset before work", "reset after work"):
+            tricks.reset(writer)
+            return
+        await forward_endpoint.reply_engine(self, received, writer)
+        if trick == "copy an answer" and received.prefills:
+            body = b'{"kv_handle":"old","tokens":1}'
+            whole = forward_endpoint.answer(received, body)
+            self.tricks.copy_later(writer, whole)
 
     def _refuse(self, received, writer, arrival):
         pause = {}
@@ -113,10 +151,7 @@
         writer.write(b"\r\n".join(fields) + b"\r\n\r\n" + body[:-7])
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-        writer.transport.abort()
+        tricks.reset(writer)
 
     async def _stream(self, received, writer, deadly):
         request_id = received.request_id
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 
 DOWN_S = 0.4
 STOPPED_S = 1.5
+PAUSED_S = (0.02, 0.6)
 AWAY_S = 1.2
 COPY_AGE_S = 2.0
 MOOD_S = 1.2
@@ -28,17 +29,16 @@
 
 async def freeze(fleet, rng, counts):
     """Stops an instance by a signal for a while."""
-    member = rng.choice(fleet.members)
-    if not member.accepting:
-        return
-    process = member.process
-    process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(STOPPED_S)
-    if process.returncode is None:
-        process.send_signal(signal.SIGCONT)
+    await _stop(fleet, rng, STOPPED_S)
     counts["freeze"] += 1
 
 
+async def pause(fleet, rng, counts):
+    """Stops an instance by a signal for a moment, between any two calls."""
+    await _stop(fleet, rng, rng.uniform(*PAUSED_S))
+    counts["pause"] += 1
+
+
 async def store_away(fleet, rng, counts):
     """Lets the store refuse all calls, or leave them unanswered."""
     if rng.random() < 0.5:
@@ -102,7 +102,19 @@
     counts["endpoint replaced"] += 1
 
 
+async def _stop(fleet, rng, stopped_s):
+    member = rng.choice(fleet.members)
+    if not member.accepting:
+        return
+    process = member.process
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(stopped_s)
+    if process.returncode is None:
+        process.send_signal(signal.SIGCONT)
+
+
 RESTORED = (store_restored, store_restored, restart, freeze, kill, replace)
 PLANNED = (restart, replace, store_forgets)
 SIGNS = (ask_for_pause, ask_for_pause, say_leaving, store_away, replace)
+STOPS = (pause, pause, pause, pause, freeze, restart, kill)
 ALL = (restart, kill, freeze, store_away, store_forgets, moody, moody, replace)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,17 @@
     ("plain-2", forward_world.CALLS, ""),
     ("plain-3", forward_world.CALLS, ""),
 )
+FEW_BACKENDS = (
+    ("prefill-1", forward_world.ENGINES, "prefill"),
+    ("decode-1", forward_world.ENGINES, "decode"),
+    ("plain-1", forward_world.CALLS, ""),
+    ("plain-2", forward_world.CALLS, ""),
+)
+"""So few that a request refused by one is soon sent to the same one again."""
+ROUTES = [
+    {**each, "max_attempts": 3} if each["name"] == "write" else each
+    for each in forward_world.DEFAULT_ROUTES
+]
 DRAIN_S = 1.5
 DOWN_S = 0.3
 CRASHED_S = 0.6
@@ -33,8 +44,11 @@
 class Fleet:
     """Everything that a soak needs; faults act on it."""
 
-    def __init__(self, folder, root=forward_process.ROOT):
+    def __init__(self, folder, root=forward_process.ROOT, played=None):
         self._root = root
+        self._tricks = played
+        self.announced = BACKENDS
+        """Name, service and stage of the endpoints at the start."""
         self.store = object_store.ObjectStore()
         self._server = object_store.StoreServer(self.store)
         self._folder = folder
@@ -56,7 +70,7 @@
     async def start(self):
         self._server.start()
         self.configure()
-        for name, service, stage in BACKENDS:
+        for name, service, stage in self.announced:
             await self._add_backend(name, service, stage)
         for name in NAMES:
             folder = self._folder / name
@@ -71,9 +85,7 @@
     def configure(self):
         """Writes a new configuration."""
         self.version += 1
-        plain = forward_world.configuration(
-            self.version, forward_world.DEFAULT_ROUTES
-        )
+        plain = forward_world.configuration(self.version, ROUTES)
         self.store.put("config", "main", plain)
 
     def versions_in_force(self):
@@ -161,7 +173,7 @@
         self._number += 1
         if renamed:
             name = f"{name.rstrip('-').partition('.')[0]}.{self._number}"
-        backend = backends.Backend(name, stage)
+        backend = backends.Backend(name, stage, self._tricks)
         await backend.start()
         self._services[backend] = service
         self.backends.append(backend)
--- a/tests/soak/test_planted.py
+++ b/tests/soak/test_planted.py
@@ -5,6 +5,7 @@
 
 import pytest
 from soak import checks
+from soak import fleet
 from soak import test_soak
 
 from standins import forward_process
@@ -45,6 +46,18 @@
         "and ran",
     ),
 }
+COPIES = {
+    "the connection of an earlier sending is used again": (
+        f"{FORWARD}/endpoints/exchange.py",
+        (
+            (
+                "await self._conns.acquire(address, used_conns)",
+                "await self._conns.acquire(address)",
+            ),
+        ),
+        "and ran",
+    ),
+}
 
 
 def plant(root, file, changes):
@@ -83,6 +96,20 @@
     assert any(what in each for each in found)
 
 
+@pytest.mark.parametrize("seed", test_soak.SEEDS)
+@pytest.mark.parametrize("name", COPIES)
+def test_planted_fault_is_found_by_late_copies(tmp_path, name, seed):
+    file, changes, what = COPIES[name]
+    root = tmp_path / "planted"
+    plant(root, file, changes)
+
+    soak = test_soak.Soak(tmp_path, seed, root=root)
+    soak.fleet.announced = fleet.FEW_BACKENDS
+    asyncio.run(soak.play(test_soak.copy_refusals))
+    found = checks.violations(soak.outcomes, soak.fleet.all_backends)
+    assert any(what in each for each in found)
+
+
 def test_nothing_is_found_without_a_plant(tmp_path):
     soak = test_soak.Soak(tmp_path, 1)
     asyncio.run(soak.play(break_answers_off))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 import collections
 import json
 import os
+import pathlib
 import random
 import time
 
@@ -16,6 +17,7 @@
 from soak import checks
 from soak import faults
 from soak import fleet as soak_fleet
+from soak import tricks
 
 from standins import forward_process
 
@@ -23,6 +25,10 @@
 ONCE_RED_DEADLY_SEEDS = (11, 12)
 """Two engines crash together before anything has started: the part that sound
 prompts share was blamed, and stayed so."""
+TRICK_SHARE = 0.5
+COPY_SHARE = 0.25
+ROOT = pathlib.Path(os.environ.get("SOAK_ROOT", forward_process.ROOT))
+"""The checkout whose instances are played."""
 CALLERS = 12
 SETTLE_S = 2.0
 FAULTS_S = 9.0
@@ -39,11 +45,10 @@
 class Soak:
     """One play: callers, faults and what became of the requests."""
 
-    def __init__(
-        self, folder, seed, deadly_share=0.0, root=forward_process.ROOT
-    ):
+    def __init__(self, folder, seed, deadly_share=0.0, root=ROOT):
         self.rng = random.Random(seed)
-        self.fleet = soak_fleet.Fleet(folder, root)
+        self.tricks = tricks.Tricks(random.Random(seed))
+        self.fleet = soak_fleet.Fleet(folder, root, self.tricks)
         self.counts = collections.Counter()
         self._callers = [
             callers.SoakCaller(self.fleet, self.rng, deadly_share)
@@ -110,11 +115,20 @@
         every = self.fleet.all_backends
         answered = [each for each in self.outcomes if each.complete]
         print(f"faults {dict(self.counts)}, {len(self.outcomes)} requests")
+        print(f"tricks {dict(self.tricks.counts)}")
         assert checks.violations(self.outcomes, every) == []
         assert checks.late_runs(self.fleet.left) == []
         assert len(answered) >= MIN_ANSWERED
 
 
+async def copy_refusals(soak):
+    """Has endpoints refuse and send the refusal once more, some time later."""
+    soak.tricks.kinds = ("copy a refusal",)
+    soak.tricks.share = COPY_SHARE
+    await soak.strike((faults.pause,), overlap=True)
+    soak.tricks.share = 0.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_any_faults_overlapping(tmp_path, seed):
     async def script(soak):
@@ -188,6 +202,27 @@
     assert checks.most_in_window(arrivals) <= allowed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_refusals_and_late_copies_through_pauses_and_stops(tmp_path, seed):
+    async def script(soak):
+        soak.tricks.share = TRICK_SHARE
+        await soak.strike(faults.STOPS, overlap=True)
+        soak.tricks.share = 0.0
+
+    soak = Soak(tmp_path, seed)
+    soak.fleet.announced = soak_fleet.FEW_BACKENDS
+    asyncio.run(soak.play(script))
+    soak.check()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_late_copies_of_refusals_while_instances_pause(tmp_path, seed):
+    soak = Soak(tmp_path, seed)
+    soak.fleet.announced = soak_fleet.FEW_BACKENDS
+    asyncio.run(soak.play(copy_refusals))
+    soak.check()
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_signs_of_endpoints_while_the_store_goes_away(tmp_path, seed):
     async def script(soak):
