Log what tells broken promises apart: connections, skipped answers

Callers saw requests that were refused with a promise and ran, or ran twice, and nobody could say why: no line told whether two sendings of a request shared a connection, or that an answer belonged to another call.

send_failed now has the connections that carried the request, in order; a line answer_skipped and the gauge seam_answers_skipped tell of answers that belong to no call. The connections are a list now, as their order is what the line tells.

--- a/packages/seam_node/seam_node/forward/callers/context.py
+++ b/packages/seam_node/seam_node/forward/callers/context.py
@@ -110,8 +110,9 @@
     deadline_at: float = 0.0
     tried: list[str] = attrs.field(factory=list)
     """Keys of the endpoints that the request was sent to, in order."""
-    used_conns: set[int] = attrs.field(factory=set)
-    """Numbers of the connections to endpoints that carried the request."""
+    used_conns: list[int] = attrs.field(factory=list)
+    """Numbers of the connections to endpoints that carried the request, in
+    order."""
     sends: int = 0
     start_limit: StartLimit | None = None
     """None if the request does not wait before it is sent."""
--- a/packages/seam_node/seam_node/forward/endpoints/exchange.py
+++ b/packages/seam_node/seam_node/forward/endpoints/exchange.py
@@ -13,6 +13,7 @@
 
 from seam_model import endpoint_errors
 from seam_model import forwarding
+from seam_node import logs
 from seam_node.forward import sockets
 from seam_node.forward.endpoints import availability
 from seam_node.forward.endpoints import connections
@@ -137,6 +138,7 @@
         conns: connections.Connections,
         limits: endpoint_limits.EndpointLimits,
         available: availability.Availability,
+        log: logs.Log,
     ):
         """Creates a client.
 
@@ -145,18 +147,22 @@
             conns: the connection pool.
             limits: told the rate limits that answers name.
             available: tells which endpoints may get work.
+            log: where answers that belong to no call are logged.
         """
         self._available = available
+        self._log = log
         self._codec = codec
         self._conns = conns
         self._limits = limits
+        self.skipped_count = 0
+        """Answers that did not belong to the call, since the start."""
 
     async def send(
         self,
         address: forwarding.Address,
         call: forwarding.EndpointCall,
         receiver: Receiver,
-        used_conns: set[int] | None = None,
+        used_conns: list[int] | None = None,
     ) -> SendResult:
         """Sends a call and waits for the complete answer.
 
@@ -174,7 +180,7 @@
                 second copy of an earlier answer may still arrive on them, so
                 they are not used; the one that is used is added.
         """
-        used_conns = set() if used_conns is None else used_conns
+        used_conns = [] if used_conns is None else used_conns
         unavailable = self._available.error(call.endpoint_key, call.is_work)
         if unavailable is not None:
             return expression.Error(unavailable)
@@ -186,7 +192,7 @@
         if unavailable is not None:
             stream.close()
             return expression.Error(unavailable)
-        used_conns.add(stream.number)
+        used_conns.append(stream.number)
         head = None
         try:
             conn = _write(stream, call)
@@ -229,8 +235,26 @@
                 return None
             if not reader.mismatched:
                 return reader.head
+            self._skip(call, stream, reader.head)
         return None
 
+    def _skip(
+        self,
+        call: forwarding.EndpointCall,
+        stream: sockets.EndpointStream,
+        head: forwarding.AnswerHead,
+    ) -> None:
+        self.skipped_count += 1
+        self._log.event(
+            "answer_skipped",
+            "warning",
+            endpoint=call.endpoint_key,
+            connection=stream.number,
+            request=call.request_id,
+            answer_to=head.request_id,
+            status=head.status,
+        )
+
     def _release_connection(
         self,
         address: forwarding.Address,
@@ -274,7 +298,7 @@
     address: forwarding.Address,
     call: forwarding.EndpointCall,
     timeout_s: float,
-    used_conns: set[int] | None = None,
+    used_conns: list[int] | None = None,
 ) -> expression.Result[bytes, endpoint_errors.EndpointError]:
     """Sends an internal call; returns the body of a successful answer.
 
--- a/packages/seam_node/seam_node/forward/endpoints/request_sender.py
+++ b/packages/seam_node/seam_node/forward/endpoints/request_sender.py
@@ -103,6 +103,7 @@
             request=ctx.req.id,
             endpoint=endpoint.id,
             sends=ctx.sends,
+            connections=",".join(map(str, ctx.used_conns)),
             left_s=round(ctx.remaining_s(), 3),
             may_run=ctx.reached_endpoint,
         )
--- a/packages/seam_node/seam_node/forward/forward_gauges.py
+++ b/packages/seam_node/seam_node/forward/forward_gauges.py
@@ -36,6 +36,8 @@
     """Bytes of callers' bodies that are held now."""
     refused_for_memory: Callable[[], float]
     """Requests refused for want of memory since the start."""
+    answers_skipped: Callable[[], float]
+    """Answers of endpoints that belonged to no call since the start."""
 
 
 def register(meter: metrics.Metrics, sources: GaugeSources) -> None:
@@ -111,5 +113,10 @@
             "Requests refused for want of memory, since the start.",
             sources.refused_for_memory,
         ),
+        (
+            "seam_answers_skipped",
+            "Answers of endpoints that belonged to no call, since the start.",
+            sources.answers_skipped,
+        ),
     ):
         meter.gauge(name, text, value)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -281,6 +281,7 @@
             self._conns,
             self.limits,
             self.available,
+            self.log,
         )
         self.releases = release_calls.ReleaseCalls(self._client, self.log)
         self.sender = request_sender.RequestSender(
@@ -396,6 +397,7 @@
                 lambda: self.available.pauses_heard,
                 lambda: self.memory.held_bytes,
                 lambda: self.memory.refused,
+                lambda: self._client.skipped_count,
             ),
         )
 
--- a/tests/seam_node/forward/test_second_copies.py
+++ b/tests/seam_node/forward/test_second_copies.py
@@ -53,6 +53,43 @@
     forward_world.run_scenario(scenario)
 
 
+def test_log_tells_copies_from_answers():
+    async def scenario(world):
+        plain = await world.endpoint("plain-1", reply=_answer_twice)
+        caller = await world.connect()
+        await caller.request("/read/1", request_id="first")
+        await caller.request("/read/1", request_id="second")
+        (skipped,) = world.logged("answer_skipped")
+        assert (skipped["request"], skipped["answer_to"]) == ("second", "first")
+        assert skipped["status"] == 200
+        assert len(plain.ran) == 2
+
+    forward_world.run_scenario(scenario)
+
+
+def test_log_names_the_connections_of_all_sendings():
+    async def scenario(world):
+        _, decode = await world.engines()
+        decode.reply = RefusesOnce(is_run)
+        caller = await world.connect()
+        await caller.request_model(request_id="refused-once")
+        (failed,) = world.logged("send_failed")
+        assert failed["request"] == "refused-once"
+        numbers = failed["connections"].split(",")
+        assert len(numbers) == len(set(numbers)) == 2
+
+    forward_world.run_scenario(scenario)
+
+
+async def _answer_twice(endpoint, received, writer):
+    """Sends a second copy once the connection is in use again."""
+    if received.request_id == "second":
+        first, *_ = endpoint.ran
+        writer.write(forward_endpoint.answer(first))
+        await asyncio.sleep(COPY_DELAY_S)
+    await forward_endpoint.reply_whole(endpoint, received, writer)
+
+
 class PrefillsWithCopy:
     """Prefills; sends the first answer once more, during the next prefill."""
 
