Show that the answer of a failed run promises that nothing ran

Callers get a sealed 503, 429 or 408 of an endpoint that has run their request and failed; the status promises that nothing ran, so they send it once more.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -86,6 +86,9 @@
         if trick == "reset after work":
             tricks.reset(writer)
             return
+        if trick in tricks.FAILURES:
+            writer.write(tricks.failure(trick, received))
+            return
         with self.tricks.answering(writer):
             if self.stage:
                 await self._stream(received, writer, deadly)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -223,6 +223,19 @@
     soak.check()
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_runs_that_fail_with_a_status_that_promises(tmp_path, seed):
+    async def script(soak):
+        soak.tricks.kinds = tricks.FAILURES
+        soak.tricks.share = TRICK_SHARE
+        await soak.strike((faults.pause,), overlap=True)
+        soak.tricks.share = 0.0
+
+    soak = Soak(tmp_path, seed)
+    asyncio.run(soak.play(script))
+    soak.check()
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_signs_of_endpoints_while_the_store_goes_away(tmp_path, seed):
     async def script(soak):
--- a/tests/soak/tricks.py
+++ b/tests/soak/tricks.py
@@ -32,6 +32,8 @@
 )
 LOSSES = ("reset before work", "reset after work", "answer, then reset")
 ANSWERS = ("copy an answer", "work long")
+FAILURES = ("fail a run with 503", "fail a run with 429", "fail a run with 408")
+"""Sealed answers of runs, without the field that says that nothing has run."""
 TRICKS = REFUSALS + LOSSES + ANSWERS
 
 
@@ -135,6 +137,12 @@
             at += size
 
 
+def failure(trick, received):
+    """Returns the answer of a run that has failed."""
+    status = trick.rpartition(" ")[2]
+    return forward_endpoint.answer(received, b"failed", f"{status} Failed")
+
+
 def misdirection(received):
     """Returns the answer of an endpoint that is not the intended one."""
     return forward_endpoint.answer(
