Promise nothing to a caller whose run has failed

Callers got 503, 429 or 408 for requests that had run: the signed answer of an endpoint whose run had failed was passed on unchanged.

Cause: an endpoint's status was taken over where the same status is a promise of ours. Class: a word that has one meaning for the sender is passed to a reader for whom it has another.

Ruled out: that only some route does it (all did); that the endpoint says 'not run' (the field is absent); that it was a copy (connections differ).

Why it works: the status that a caller gets is decided in one module, for our own refusals and now for answers too, at the only place that takes answers for callers. Body and fields still reach the caller; signature and Retry-After, which hold for the endpoint's own status, do not.

--- a/packages/seam_model/seam_model/forwarding.py
+++ b/packages/seam_model/seam_model/forwarding.py
@@ -267,6 +267,10 @@
     """Requests a second that the endpoint takes from all instances together;
     None if it names no limit."""
 
+    status_fields: frozenset[str] = frozenset()
+    """Names of `fields` that hold for this status only, such as the
+    signature."""
+
     @property
     def success(self) -> bool:
         """Whether the status is 2xx."""
--- a/packages/seam_node/seam_node/forward/callers/answer_buffer.py
+++ b/packages/seam_node/seam_node/forward/callers/answer_buffer.py
@@ -11,6 +11,7 @@
 
 from seam_model import forwarding
 from seam_node.forward.callers import context
+from seam_node.forward.callers import refusals
 from seam_node.forward.endpoints import exchange
 
 SMALL_ANSWER_BYTES = 16 * 1024
@@ -38,12 +39,12 @@
 
     @property
     def status(self) -> int:
-        """The status of the answer."""
+        """The status that the caller gets with the answer."""
         return self._head.status
 
     def head(self, head: forwarding.AnswerHead) -> None:
         """Lets the request's body go if it may not be sent again."""
-        self._head = head
+        self._head = refusals.for_caller(head)
         if self.can_be_sent() and not self._ctx.route.may_retry():
             self._ctx.release_body()
 
--- a/packages/seam_node/seam_node/forward/callers/refusals.py
+++ b/packages/seam_node/seam_node/forward/callers/refusals.py
@@ -1,7 +1,7 @@
-"""Maps errors to the HTTP statuses of refusals.
+"""Decides which statuses callers get when a request is not served.
 
-429 and 503 guarantee that the request has not run and never will; 502 and 504
-guarantee nothing. Only this module decides between them.
+408, 421, 429 and 503 guarantee that the request has not run and never will; 502
+and 504 guarantee nothing. Only this module decides between them.
 """
 
 import http
@@ -9,6 +9,7 @@
 import attrs
 
 from seam_model import errors
+from seam_model import forwarding
 
 
 @attrs.frozen
@@ -19,6 +20,14 @@
     retry: bool
 
 
+_NOT_RUN_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 _FIXED = {
     errors.BadInput: http.HTTPStatus.BAD_REQUEST,
     errors.RouteUnknown: http.HTTPStatus.NOT_FOUND,
@@ -40,3 +49,23 @@
     if isinstance(error, errors.DeadlinePassed):
         return Refusal(http.HTTPStatus.GATEWAY_TIMEOUT, False)
     return Refusal(http.HTTPStatus.BAD_GATEWAY, False)
+
+
+def for_caller(head: forwarding.AnswerHead) -> forwarding.AnswerHead:
+    """Returns the head that a caller gets of an endpoint's answer to a run.
+
+    A run may have failed with a status that would tell the caller that nothing
+    has run. The caller gets the rest of the answer with a status that tells
+    nothing.
+    """
+    if head.status not in _NOT_RUN_STATUSES:
+        return head
+    status = http.HTTPStatus.BAD_GATEWAY
+    return attrs.evolve(
+        head,
+        status=status.value,
+        reason=status.phrase,
+        fields=tuple(
+            each for each in head.fields if each.name not in head.status_fields
+        ),
+    )
