Leave an engine alone whose order was answered with a server error

Requests could be given to an engine that was about to change its stage, and be refused there. Cause: an order answered with 5xx was taken as not accepted, though only the statuses that orders have (4xx) say so; it may be carried out, also later.

Test: red for 500 and 503 before; 409 is taken as not accepted as before.

--- a/packages/seam_node/seam_node/forward/placement/stages.py
+++ b/packages/seam_node/seam_node/forward/placement/stages.py
@@ -24,10 +24,9 @@
 from seam_policy import stage_balance
 
 CHECK_INTERVAL_S = 0.5
-_NOT_ACCEPTED = (
-    endpoint_errors.EndpointRefused,
-    endpoint_errors.EndpointUnavailable,
-)
+MIN_SERVER_ERROR_STATUS = 500
+"""From this status on, an order's answer does not tell whether it is carried
+out."""
 ORDER_TIMEOUT_S = 1.0
 STAGE_CHANGE_MAX_S = 14.0
 """Longest time an engine needs to finish its streams and change its stage."""
@@ -290,7 +289,7 @@
                 change.stage, until
             )
             self._next_order_at = self._now()
-        elif isinstance(done.error, _NOT_ACCEPTED):
+        elif _is_not_accepted(done.error):
             self._stats.include(change.endpoint.key)
         self._log.event(
             "stage_ordered",
@@ -303,6 +302,13 @@
         )
 
 
+def _is_not_accepted(error: endpoint_errors.EndpointError) -> bool:
+    """Returns whether an order is certain not to be carried out."""
+    if isinstance(error, endpoint_errors.EndpointRefused):
+        return error.status < MIN_SERVER_ERROR_STATUS
+    return isinstance(error, endpoint_errors.EndpointUnavailable)
+
+
 def _engine_in_largest_data_centre(
     engines: list[forwarding.Endpoint],
 ) -> forwarding.Endpoint:
--- a/tests/seam_node/forward/test_node.py
+++ b/tests/seam_node/forward/test_node.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from seam_node.forward.placement import stages
 from seam_policy import time_bounds
 from standins import forward_endpoint
@@ -242,6 +244,45 @@
     forward_world.run_scenario(scenario)
 
 
+def answers_orders_with(status):
+    """Returns a reply of an engine that keeps an order and fails to say so."""
+
+    async def reply(endpoint, received, writer):
+        if received.target.startswith("/sycamoreseam/order"):
+            endpoint.orders.append(received.body)
+            writer.write(forward_endpoint.answer(received, b"", status))
+            return
+        await forward_endpoint.reply_engine(endpoint, received, writer)
+
+    return reply
+
+
+@pytest.mark.parametrize(
+    ("status", "left_alone"),
+    [("500 Error", True), ("503 Unavailable", True), ("409 Conflict", False)],
+)
+def test_engine_whose_order_has_failed_unclearly_is_left_alone(
+    status, left_alone
+):
+    # It was given requests again although it may still change its stage.
+    async def scenario(world):
+        for number in range(5):
+            await world.endpoint(
+                f"prefill-{number}",
+                forward_world.ENGINES,
+                answers_orders_with(status),
+                "prefill",
+            )
+        await world.engine("decode-0", "decode")
+        await world.until(lambda: world.logged("stage_ordered"))
+        (ordered,) = world.logged("stage_ordered")
+        excluded = world.node.stats.excluded(world.node.ports.clock.monotonic())
+        names = {key.partition("/")[0] for key in excluded}
+        assert (ordered["endpoint"] in names) is left_alone
+
+    forward_world.run_scenario(scenario)
+
+
 def test_an_order_carries_fencing_token_and_precondition():
     async def scenario(world):
         ordered = await ordered_engine(world)
