Keep a SIGHUP waiting that comes while a process starts

A settings change in the first half second of a process ended it: a caller that it had just been named to found nobody, and the platform restarted it. Cause: until the handler is set, after the imports and the start of the instance, SIGHUP has its default action.

The signal is blocked from the first line of the entry point on, and let through once the handler is set, so that it is not lost either. Ruled out: to ignore it until then, which would lose a change made after the settings were read.

Test: red before (the signal was never kept waiting); settings_reloaded is logged now, and the process lives. What comes before the first line (the interpreter's own start) is left.

--- a/packages/seam_node/seam_node/forward/daemon.py
+++ b/packages/seam_node/seam_node/forward/daemon.py
@@ -196,6 +196,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # One that came earlier has waited, as the entry point blocks it.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
     def _reload(self) -> None:
         """Reloads the settings; only the log level applies without restart."""
--- a/tests/processes/test_forwarding.py
+++ b/tests/processes/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import pathlib
+import re
 import signal
 
 import pytest
@@ -69,6 +71,36 @@
     run_scenario(tmp_path, scenario)
 
 
+def blocks_hang_up(process):
+    """Returns whether a process keeps SIGHUP waiting."""
+    status = pathlib.Path(f"/proc/{process.process.pid}/status").read_text()
+    (mask,) = re.findall(r"^SigBlk:\s*([0-9a-f]+)$", status, re.MULTILINE)
+    return bool(int(mask, 16) & 1 << (signal.SIGHUP - 1))
+
+
+def test_hang_up_while_the_process_starts_does_not_end_it(tmp_path):
+    # It did until the handler was set, half a second after the start.
+    async def run():
+        process = forward_process.Process(tmp_path, 1)
+        process.write_settings()
+        await process.start()
+        try:
+            async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+                while not blocks_hang_up(process):
+                    await asyncio.sleep(0.005)
+                process.signal(signal.SIGHUP)
+                while "event=settings_reloaded" not in (
+                    process.output.read_text()
+                ):
+                    assert process.process.returncode is None
+                    await asyncio.sleep(0.02)
+            assert not blocks_hang_up(process)
+        finally:
+            await process.close()
+
+    asyncio.run(run())
+
+
 def test_stop_cuts_off_no_request_in_progress(tmp_path):
     async def scenario(process, endpoint):
         finish_request = asyncio.Event()
