Split the stand-in engine, and say once how a soak is played

No check has changed. tests/test_standins, tests/soak/test_soak.py, tests/processes/test_engines.py and tests/proofs/test_planted.py passed.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -13,7 +13,7 @@
 from bench import cluster
 from bench import hold
 from seam_model import ids
-from standins import engine_core
+from standins import engine_parts
 
 REQUESTS = 12
 TOKENS = 40
@@ -100,7 +100,7 @@
 
     def _record_answer(self, name: str, answer: caller.Answer) -> None:
         expected_texts = [
-            engine_core.token_text(answer.request_id, seq)
+            engine_parts.token_text(answer.request_id, seq)
             for seq in range(1, TOKENS + 1)
         ]
         if answer.done and answer.texts == expected_texts:
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -12,7 +12,7 @@
 from seam_model import endpoints
 from seam_model import ids
 from seam_node.controllers import registry
-from standins import engine_core
+from standins import engine_parts
 
 WORKSPACE = "cebu-branch-1"
 MAX_ATTEMPTS = 200
@@ -121,7 +121,7 @@
 def check_complete(answer, tokens):
     """Checks that each event of this request came once and in sequence."""
     texts = [
-        engine_core.token_text(answer.request_id, seq)
+        engine_parts.token_text(answer.request_id, seq)
         for seq in range(1, tokens + 1)
     ]
     assert answer.texts == texts
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -129,14 +129,21 @@
     soak.tricks.share = 0.0
 
 
+def played(tmp_path, seed, script, announced=soak_fleet.BACKENDS, **options):
+    """Plays a script and checks what must hold in every play."""
+    soak = Soak(tmp_path, seed, **options)
+    soak.fleet.announced = announced
+    asyncio.run(soak.play(script))
+    soak.check()
+    return soak
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_any_faults_overlapping(tmp_path, seed):
     async def script(soak):
         await soak.strike(faults.ALL, overlap=True)
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    played(tmp_path, seed, script)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -144,9 +151,7 @@
     async def script(soak):
         await soak.strike(faults.PLANNED, overlap=False)
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    soak = played(tmp_path, seed, script)
     every = soak.fleet.all_backends
     assert checks.cut_requests(soak.outcomes, every) == []
 
@@ -158,9 +163,7 @@
     async def script(soak):
         await soak.strike(kinds, overlap=False)
 
-    soak = Soak(tmp_path, seed, deadly_share=0.2)
-    asyncio.run(soak.play(script))
-    soak.check()
+    soak = played(tmp_path, seed, script, deadly_share=0.2)
     runs = checks.deadly_runs(soak.fleet.all_backends)
     assert 1 <= runs <= checks.MAX_DEADLY_RUNS
 
@@ -174,9 +177,7 @@
         await asyncio.sleep(APPLY_S)
         in_force.extend(soak.fleet.versions_in_force())
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    soak = played(tmp_path, seed, script)
     assert set(in_force) == {soak.fleet.version}
 
 
@@ -192,9 +193,7 @@
         del plain.fields["Server-Limit"]
         limited_from.append((plain, time.monotonic()))
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    played(tmp_path, seed, script)
     (plain, since), (_, until) = limited_from
     times = [each.at for each in plain.arrivals]
     arrivals = [at for at in times if since + STABLE_S < at < until]
@@ -209,18 +208,12 @@
         await soak.strike(faults.STOPS, overlap=True)
         soak.tricks.share = 0.0
 
-    soak = Soak(tmp_path, seed)
-    soak.fleet.announced = soak_fleet.FEW_BACKENDS
-    asyncio.run(soak.play(script))
-    soak.check()
+    played(tmp_path, seed, script, soak_fleet.FEW_BACKENDS)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_late_copies_of_refusals_while_instances_pause(tmp_path, seed):
-    soak = Soak(tmp_path, seed)
-    soak.fleet.announced = soak_fleet.FEW_BACKENDS
-    asyncio.run(soak.play(copy_refusals))
-    soak.check()
+    played(tmp_path, seed, copy_refusals, soak_fleet.FEW_BACKENDS)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -231,9 +224,7 @@
         await soak.strike((faults.pause,), overlap=True)
         soak.tricks.share = 0.0
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    played(tmp_path, seed, script)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -241,9 +232,7 @@
     async def script(soak):
         await soak.strike(faults.SIGNS, overlap=True)
 
-    soak = Soak(tmp_path, seed)
-    asyncio.run(soak.play(script))
-    soak.check()
+    soak = played(tmp_path, seed, script)
     signed, every = soak.fleet.signed, soak.fleet.all_backends
     assert checks.arrivals_after_sign(signed, soak.outcomes) == []
     most = checks.arrivals_in_pauses(every, soak.outcomes)
--- a/tests/standins/engine_core.py
+++ b/tests/standins/engine_core.py
@@ -11,130 +11,23 @@
 import heapq
 import random
 from typing import Any
-import zlib
 
-import attrs
 import expression
 
 from seam_model import endpoint_errors
 from seam_model import endpoints
-from seam_node.ports import engine
 from standins import costs
 from standins import engine_core_cache
+from standins import engine_parts
 
 Importer = Callable[[str, str], Awaitable[expression.Result]]
 """Takes a source URL and a KV handle; returns the bytes transferred."""
 
 
-@attrs.define
-class Faults:
-    """Fault switches that a test may set at any time."""
-
-    down: bool = False
-    silent: bool = False
-    fail_transfers: int = 0
-    """Number of next KV imports that fail."""
-    lose_answers: int = 0
-    """Number of next orders that take effect but whose answer is lost."""
-    latency_s: float = 0.0
-
-
-@attrs.frozen
-class ReceivedOrder:
-    """An order that the engine received; `kind` is the port's method."""
-
-    kind: str
-    request_id: str
-    generation: int
-    at_s: float
-
-
-@attrs.define
-class _Kv:
-    order: endpoints.PrefillOrder
-    blocks: int
-    expires_s: float
-    timer: asyncio.TimerHandle
-
-
-@attrs.define(eq=False)
-class _Stream:
-    order: endpoints.DecodeOrder
-    generation: int
-    owner: str
-    blocks: int
-    idle_since: float
-    events: list[bytes] = attrs.Factory(list)
-    reader: Any = None
-    changed: asyncio.Event = attrs.Factory(asyncio.Event)
-    done: bool = False
-    read_out: bool = False
-    """Whether a reader has received the whole stream."""
-    freed: bool = False
-
-
-def token_text(request_id: str, seq: int) -> str:
-    """Returns the expected text of an event of a request."""
-    return f"{zlib.crc32(f'{request_id}:{seq}'.encode()):08x} "
-
-
-def blocks_of(tokens: int) -> int:
-    """Returns the number of memory blocks for `tokens` tokens."""
-    return -(-tokens // endpoints.KV_BLOCK_TOKENS)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
 
-class Reader(engine.DecodeStream):
-    """The only reader of a stream, until a later one replaces it."""
-
-    def __init__(self, core: "EngineCore", stream: _Stream, after_seq: int):
-        self._core, self._stream, self._seq = core, stream, after_seq
-        stream.reader = self
-        stream.changed.set()
-
-    async def read(
-        self,
-    ) -> expression.Result[
-        endpoints.TokenChunk | None, endpoint_errors.EndpointError
-    ]:
-        """Waits for the next events; `EndpointLost` after a replacement."""
-        stream = self._stream
-        while True:
-            await self._core.answering.wait()
-            lost = stream.freed or stream.reader is not self
-            if lost or self._core.faults.down:
-                return expression.Error(
-                    endpoint_errors.EndpointLost(self._core.name)
-                )
-            if len(stream.events) > self._seq:
-                return expression.Ok(self._take_chunk())
-            if stream.done:
-                return expression.Ok(None)
-            stream.changed.clear()
-            await stream.changed.wait()
-
-    async def close(self) -> None:
-        """Detaches; the stream continues to run."""
-        self.detach()
-
-    def detach(self) -> None:
-        """Detaches, unless a later reader has replaced this one."""
-        if self._stream.reader is self:
-            self._core.detach(self._stream)
-
-    def _take_chunk(self) -> endpoints.TokenChunk:
-        stream = self._stream
-        new = stream.events[self._seq :]
-        first, self._seq = self._seq + 1, self._seq + len(new)
-        if stream.done:
-            self._core.mark_read_out(stream)
-        data = b"".join(new)
-        return endpoints.TokenChunk(first, len(new), data, stream.done)
-
-
 class EngineCore:
     """One engine with prefill queue, decode batch, memory, cache and faults."""
 
@@ -151,10 +44,10 @@
         self.name, self.role, self.cost = name, role, cost or costs.Costs()
         self.models: tuple[str, ...] = ()
         self.adapters: tuple[str, ...] = ()
-        self.faults = Faults()
+        self.faults = engine_parts.Faults()
         self.answering = asyncio.Event()
         self.answering.set()
-        self.seen: list[ReceivedOrder] = []
+        self.seen: list[engine_parts.ReceivedOrder] = []
         self.wasted_prefill_tokens = 0
         self.fence = 0
         self._checks_fence = checks_fence
@@ -164,9 +57,9 @@
         self._queue: list = []
         self._order_count = 0
         self._prefilling: asyncio.Task | None = None
-        self._kv: dict[str, _Kv] = {}
-        self._streams: dict[str, _Stream] = {}
-        self._running: list[_Stream] = []
+        self._kv: dict[str, engine_parts.Kv] = {}
+        self._streams: dict[str, engine_parts.Stream] = {}
+        self._running: list[engine_parts.Stream] = []
         self._tick_at: float | None = None
         self._cancelled: dict[str, int] = {}
         self._link_free_at_s = 0.0
@@ -240,7 +133,7 @@
             return expression.Error(
                 endpoint_errors.OrderRejected(self.name, 409)
             )
-        blocks = blocks_of(order.prompt_tokens)
+        blocks = engine_parts.blocks_of(order.prompt_tokens)
         if blocks > self._blocks_free:
             return expression.Error(endpoint_errors.EndpointFull(self.name))
         self._blocks_free -= blocks
@@ -252,7 +145,9 @@
         life_s = self.cost.kv_ttl_s
         loop = asyncio.get_running_loop()
         timer = loop.call_later(life_s, self._drop_kv, handle)
-        self._kv[handle] = _Kv(order, blocks, _now() + life_s, timer)
+        self._kv[handle] = engine_parts.Kv(
+            order, blocks, _now() + life_s, timer
+        )
         if self._was_cancelled(order):
             self._drop_kv(handle)
         self._snapshot()
@@ -270,12 +165,12 @@
 
     async def decode(
         self, order: endpoints.DecodeOrder
-    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
+    ) -> expression.Result[engine_parts.Reader, endpoint_errors.EndpointError]:
         """Imports the KV cache and starts a stream."""
         refusal = await self._admit("decode", order)
         if refusal is not None:
             return expression.Error(refusal)
-        blocks = blocks_of(order.prompt_tokens + order.max_tokens)
+        blocks = engine_parts.blocks_of(order.prompt_tokens + order.max_tokens)
         full = self._slots_used >= self.cost.slots
         if full or blocks > self._blocks_free:
             return expression.Error(endpoint_errors.EndpointFull(self.name))
@@ -287,7 +182,9 @@
             self._blocks_free += blocks
             return expression.Error(failure)
         generation = order.incarnation
-        stream = _Stream(order, generation, order.owner, blocks, _now())
+        stream = engine_parts.Stream(
+            order, generation, order.owner, blocks, _now()
+        )
         self._streams[order.request_id] = stream
         self._running.append(stream)
         if self._tick_at is None:
@@ -296,7 +193,7 @@
 
     async def resume(
         self, order: endpoints.ResumeOrder
-    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
+    ) -> expression.Result[engine_parts.Reader, endpoint_errors.EndpointError]:
         """Attaches after an event id unless a later generation is attached."""
         generation = order.incarnation
         refusal = await self._receive_order(
@@ -332,14 +229,14 @@
             self._free(stream)
         return await self._send_answer(expression.Ok(None))
 
-    def detach(self, stream: _Stream) -> None:
+    def detach(self, stream: engine_parts.Stream) -> None:
         """Removes the reader of a stream."""
         stream.reader = None
         stream.idle_since = _now()
         stream.changed.set()
         self._snapshot()
 
-    def mark_read_out(self, stream: _Stream) -> None:
+    def mark_read_out(self, stream: engine_parts.Stream) -> None:
         """Frees a stream's memory now, its text after the retention time."""
         if stream.read_out or stream.freed:
             return
@@ -350,9 +247,9 @@
         self._snapshot()
 
     async def _attach(
-        self, stream: _Stream, after_seq: int
-    ) -> expression.Result[Reader, endpoint_errors.EndpointError]:
-        reader = Reader(self, stream, after_seq)
+        self, stream: engine_parts.Stream, after_seq: int
+    ) -> expression.Result[engine_parts.Reader, endpoint_errors.EndpointError]:
+        reader = engine_parts.Reader(self, stream, after_seq)
         self._snapshot()
         result = await self._send_answer(expression.Ok(reader))
         if result.is_error():
@@ -386,9 +283,9 @@
         else:
             self._tick_at = None
 
-    def _emit_token(self, stream: _Stream) -> None:
+    def _emit_token(self, stream: engine_parts.Stream) -> None:
         seq = len(stream.events) + 1
-        text = token_text(stream.order.request_id, seq)
+        text = engine_parts.token_text(stream.order.request_id, seq)
         event = f'id: {seq}\ndata: {{"text": "{text}"}}\n\n'
         stream.events.append(event.encode())
         if seq >= stream.order.max_tokens:
@@ -399,13 +296,13 @@
             self._stop_decoding(stream)
         stream.changed.set()
 
-    def _stop_decoding(self, stream: _Stream) -> None:
+    def _stop_decoding(self, stream: engine_parts.Stream) -> None:
         if stream in self._running:
             self._running.remove(stream)
             self._slots_used -= 1
             self._snapshot()
 
-    def _free(self, stream: _Stream) -> None:
+    def _free(self, stream: engine_parts.Stream) -> None:
         if stream.freed:
             return
         self._stop_decoding(stream)
@@ -500,7 +397,7 @@
             return endpoint_errors.EndpointUnreachable(self.name)
         if kind:
             self.seen.append(
-                ReceivedOrder(kind, request_id, generation, _now())
+                engine_parts.ReceivedOrder(kind, request_id, generation, _now())
             )
         return None
 
--- a/tests/standins/engine_server.py
+++ b/tests/standins/engine_server.py
@@ -23,6 +23,7 @@
 from seam_model import endpoints
 from standins import costs
 from standins import engine_core
+from standins import engine_parts
 
 STATUS_BY_ERROR = {
     endpoint_errors.KvExpired: 409,
@@ -91,7 +92,7 @@
 
     def initialize(self, core: Any, server: Server) -> None:
         self.core, self.server = core, server
-        self.reader: engine_core.Reader | None = None
+        self.reader: engine_parts.Reader | None = None
 
     def parse_order(self, cls: type) -> Any:
         result = codec.from_json(self.request.body, cls)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -24,7 +24,7 @@
 from seam_node.ports import peer
 from seam_node.ports import platform
 from seam_node.ports import service
-from standins import engine_core
+from standins import engine_parts
 from standins import platform_core
 from standins import service_core
 
@@ -136,7 +136,7 @@
 def _detach_unread(task: asyncio.Task) -> None:
     if task.cancelled() or task.exception() or task.result().is_error():
         return
-    if isinstance(task.result().ok, engine_core.Reader):
+    if isinstance(task.result().ok, engine_parts.Reader):
         task.result().ok.detach()
 
 
--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from standins import engine_core
+from standins import engine_parts
 
 CONFIG_PROPAGATION_LIMIT_S = 4.0
 LEAVE_GRACE_S = 3.0
@@ -186,7 +186,7 @@
             expected += 1
             is_end = a.done_tokens and event is a.events[-1]
             expected_text = (
-                "" if is_end else engine_core.token_text(a.id, expected)
+                "" if is_end else engine_parts.token_text(a.id, expected)
             )
             if (event.seq, event.text) != (expected, expected_text):
                 found.append(
--- a/tests/test_standins/test_fakes.py
+++ b/tests/test_standins/test_fakes.py
@@ -12,6 +12,7 @@
 from seam_model import peers
 from seam_model import platform_errors
 from standins import engine_core
+from standins import engine_parts
 from standins import fakes
 from standins import virtual_loop
 
@@ -78,7 +79,7 @@
     data = b"".join(chunk.data for chunk in chunks)
     ids = [int(line[4:]) for line in data.split(b"\n") if line[:3] == b"id:"]
     assert ids == list(range(1, 52))
-    assert engine_core.token_text("r", 50).encode() in data
+    assert engine_parts.token_text("r", 50).encode() in data
     assert chunks[-1].done
 
 
--- a/tests/test_standins/test_history.py
+++ b/tests/test_standins/test_history.py
@@ -3,13 +3,13 @@
 import attrs
 import pytest
 
-from standins import engine_core
+from standins import engine_parts
 from standins import history
 
 
 def events(id_, first, last, end=False, at_s=1.0):
     result = [
-        history.Event(seq, engine_core.token_text(id_, seq), at_s + seq / 100)
+        history.Event(seq, engine_parts.token_text(id_, seq), at_s + seq / 100)
         for seq in range(first, last + 1)
     ]
     if end:
