--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -5,7 +5,7 @@
 import time
 
 import attrs
-from soak import tricks
+from soak import call_faults
 
 from standins import forward_endpoint
 
@@ -61,10 +61,10 @@
 class Backend(forward_endpoint.Endpoint):
     """An endpoint that follows `mood` for its next requests."""
 
-    def __init__(self, name, stage="", played=None):
+    def __init__(self, name, stage="", injected=None):
         super().__init__(name, type(self)._reply)
         self.stage = stage
-        self.tricks = played or tricks.Tricks(None)
+        self.call_faults = injected or call_faults.CallFaults(None)
         """What becomes of single requests, besides the mood."""
         self.mood = ""
         self.runs = []
@@ -78,59 +78,59 @@
         """Called with this engine and the stage of an accepted order."""
 
     async def _reply(self, received, writer):
-        trick = self.tricks.draw() if self.tricks.share else ""
+        fault = self.call_faults.draw() if self.call_faults.share else ""
         if received.target.startswith("/sycamoreseam/") or received.prefills:
-            await self._reply_apart(received, writer, trick)
+            await self._reply_apart(received, writer, fault)
             return
         arrival = Arrival(received.request_id, time.monotonic())
         self.arrivals.append(arrival)
         if self.mood in ("refuse", "pause"):
             self._refuse(received, writer, arrival)
             return
-        if trick in tricks.REFUSALS:
-            await self.tricks.refuse(trick, received, writer)
+        if fault in call_faults.REFUSALS:
+            await self.call_faults.refuse(fault, received, writer)
             return
-        if trick == "reset before work":
-            tricks.reset(writer)
+        if fault == "reset before work":
+            call_faults.reset(writer)
             return
         deadly = DEADLY in received.headers.get("prompt-prefix", "")
         handle = received.headers.get("kv-source", "").rpartition("/")[2]
         run = Run(received.request_id, time.monotonic(), deadly, handle)
         self.runs.append(run)
-        await self._run(received, writer, trick, deadly)
+        await self._run(received, writer, fault, deadly)
 
-    async def _run(self, received, writer, trick, deadly):
-        await self.tricks.work(trick)
-        if trick == "reset after work":
-            tricks.reset(writer)
+    async def _run(self, received, writer, fault, deadly):
+        await self.call_faults.work(fault)
+        if fault == "reset after work":
+            call_faults.reset(writer)
             return
-        if trick in tricks.FAILURES:
-            writer.write(tricks.failure(trick, received))
+        if fault in call_faults.FAILURES:
+            writer.write(call_faults.failure(fault, received))
             return
-        with self.tricks.answering(writer):
+        with self.call_faults.answering(writer):
             if self.stage:
                 await self._stream(received, writer, deadly)
             else:
                 await self._answer_plain(received, writer)
-        if trick == "answer, then reset":
+        if fault == "answer, then reset":
             await writer.drain()
-            tricks.reset(writer)
-        elif trick == "copy an answer":
+            call_faults.reset(writer)
+        elif fault == "copy an answer":
             whole = forward_endpoint.answer(
                 received, plain_body(received.request_id)
             )
-            self.tricks.copy_later(writer, whole)
+            self.call_faults.copy_later(writer, whole)
 
-    async def _reply_apart(self, received, writer, trick):
+    async def _reply_apart(self, received, writer, fault):
         """Answers a prefill, or a call that carries no request."""
         if received.target.startswith("/sycamoreseam/order"):
-            await self._take_order(received, writer, trick)
+            await self._take_order(received, writer, fault)
             return
-        if trick in tricks.REFUSALS:
-            await self.tricks.refuse(trick, received, writer)
+        if fault in call_faults.REFUSALS:
+            await self.call_faults.refuse(fault, received, writer)
             return
-        if trick in ("reset before work", "reset after work"):
-            tricks.reset(writer)
+        if fault in ("reset before work", "reset after work"):
+            call_faults.reset(writer)
             return
         if not received.prefills:
             await forward_endpoint.reply_engine(self, received, writer)
@@ -140,16 +140,16 @@
         body = json.dumps({"kv_handle": handle, "tokens": 1}).encode()
         prefilled = forward_endpoint.answer(received, body)
         writer.write(prefilled)
-        if trick == "copy an answer":
-            self.tricks.copy_later(writer, prefilled)
+        if fault == "copy an answer":
+            self.call_faults.copy_later(writer, prefilled)
 
-    async def _take_order(self, received, writer, trick):
-        """Accepts an order, unless its precondition or a trick is against."""
+    async def _take_order(self, received, writer, fault):
+        """Accepts an order, unless its precondition or a fault is against."""
         order = json.loads(received.body)
         holder, fence = order["holder"], order["fencing_token"]
         self.orders_seen.append(Order(self.id, holder, fence, time.monotonic()))
-        if trick in tricks.REFUSALS:
-            await self.tricks.refuse(trick, received, writer)
+        if fault in call_faults.REFUSALS:
+            await self.call_faults.refuse(fault, received, writer)
             return
         if order["precondition"] != len(self.orders):
             conflict = forward_endpoint.answer(received, b"", "409 Conflict")
@@ -157,13 +157,13 @@
             return
         self.orders.append(order)
         self.on_order(self, order["stage"])
-        if trick in tricks.LOSSES:
-            tricks.reset(writer)
+        if fault in call_faults.LOSSES:
+            call_faults.reset(writer)
             return
         accepted = forward_endpoint.answer(received, b"{}", "202 Accepted")
         writer.write(accepted)
-        if trick == "copy an answer":
-            self.tricks.copy_later(writer, accepted)
+        if fault == "copy an answer":
+            self.call_faults.copy_later(writer, accepted)
 
     def _refuse(self, received, writer, arrival):
         pause = {}
@@ -202,7 +202,7 @@
         writer.write(b"\r\n".join(fields) + b"\r\n\r\n" + body[:-7])
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
-        tricks.reset(writer)
+        call_faults.reset(writer)
 
     async def _stream(self, received, writer, deadly):
         request_id = received.request_id
--- a/tests/soak/tricks.py
+++ b/tests/soak/call_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import random
 import socket
 import struct
 
@@ -34,7 +35,7 @@
 ANSWERS = ("copy an answer", "work long")
 FAILURES = ("fail a run with 503", "fail a run with 429", "fail a run with 408")
 """Sealed answers of runs, without the field that says that nothing has run."""
-TRICKS = REFUSALS + LOSSES + ANSWERS
+ALL = REFUSALS + LOSSES + ANSWERS
 
 
 def reset(writer):
@@ -46,29 +47,29 @@
 
 
 @attrs.define
-class Tricks:
+class CallFaults:
     """Draws what becomes of each request while `share` is above 0."""
 
-    rng: object
+    rng: random.Random | None
     share: float = 0.0
-    kinds: tuple = TRICKS
+    kinds: tuple = ALL
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     _busy: set = attrs.field(factory=set)
     """Connections in the middle of an answer."""
     _copies: set = attrs.field(factory=set)
 
     def draw(self):
-        """Returns the trick for a request; empty for none."""
+        """Returns the fault for a request; empty for none."""
         if self.rng.random() >= self.share:
             return ""
-        trick = self.rng.choice(self.kinds)
-        self.counts[trick] += 1
-        return trick
+        fault = self.rng.choice(self.kinds)
+        self.counts[fault] += 1
+        return fault
 
-    async def work(self, trick):
+    async def work(self, fault):
         """Works on a request before its answer begins."""
         if self.share:
-            bounds = LONG_WORK_S if trick == "work long" else WORK_S
+            bounds = LONG_WORK_S if fault == "work long" else WORK_S
             await asyncio.sleep(self.rng.uniform(*bounds))
 
     @contextlib.contextmanager
@@ -94,37 +95,37 @@
         if not writer.is_closing():
             writer.write(data)
 
-    async def refuse(self, trick, received, writer):
-        """Says that a request has not run, in the way of a trick."""
+    async def refuse(self, fault, received, writer):
+        """Says that a request has not run, in the way of a fault."""
         refused = forward_endpoint.refusal(received)
-        if trick == "misdirected":
+        if fault == "misdirected":
             writer.write(misdirection(received))
-        elif trick == "refuse in pieces":
+        elif fault == "refuse in pieces":
             await self._write_pieces(writer, refused)
-        elif trick == "refuse late":
+        elif fault == "refuse late":
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             writer.write(refused)
-        elif trick == "refuse and close":
+        elif fault == "refuse and close":
             extra = {"Connection": "close"}
             writer.write(forward_endpoint.refusal(received, **extra))
             await writer.drain()
             writer.close()
-        elif trick == "refuse, then end late":
+        elif fault == "refuse, then end late":
             writer.write(refused.replace(b"Content-Length: 0\r\n", b""))
             await writer.drain()
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             writer.close()
-        elif trick == "refuse, then reset":
+        elif fault == "refuse, then reset":
             writer.write(refused)
             await writer.drain()
             reset(writer)
-        elif trick == "break a refusal off":
+        elif fault == "break a refusal off":
             writer.write(refused[:-4])
             await writer.drain()
             reset(writer)
         else:
             writer.write(refused)
-            if trick == "copy a refusal":
+            if fault == "copy a refusal":
                 self.copy_later(writer, refused)
 
     async def _write_pieces(self, writer, data):
@@ -137,9 +138,9 @@
             at += size
 
 
-def failure(trick, received):
+def failure(fault, received):
     """Returns the answer of a run that has failed."""
-    status = trick.rpartition(" ")[2]
+    status = fault.rpartition(" ")[2]
     return forward_endpoint.answer(received, b"failed", f"{status} Failed")
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -60,9 +60,9 @@
 class Fleet:
     """Everything that a soak needs; faults act on it."""
 
-    def __init__(self, folder, root=forward_process.ROOT, played=None):
+    def __init__(self, folder, root=forward_process.ROOT, injected=None):
         self._root = root
-        self._tricks = played
+        self._call_faults = injected
         self.announced = BACKENDS
         """Name, service and stage of the endpoints at the start."""
         self.store = object_store.ObjectStore()
@@ -192,7 +192,7 @@
         self._number += 1
         if renamed:
             name = f"{name.rstrip('-').partition('.')[0]}.{self._number}"
-        backend = backends.Backend(name, stage, self._tricks)
+        backend = backends.Backend(name, stage, self._call_faults)
         await backend.start()
         self._services[backend] = service
         self.backends.append(backend)
--- a/tests/soak/test_orders.py
+++ b/tests/soak/test_orders.py
@@ -40,11 +40,11 @@
 def play(tmp_path, seed, root=test_soak.ROOT):
     soak = test_soak.Soak(tmp_path, seed, root=root)
     soak.fleet.announced = fleet.MANY_PREFILLS
-    soak.tricks.share = 0.1
+    soak.call_faults.share = 0.1
 
     async def script(soak):
         await move_the_lease(soak)
-        soak.tricks.share = 0.0
+        soak.call_faults.share = 0.0
 
     asyncio.run(soak.play(script))
     return soak
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,11 +13,11 @@
 
 import pytest
 from soak import backends
+from soak import call_faults
 from soak import callers
 from soak import checks
 from soak import faults
 from soak import fleet as soak_fleet
-from soak import tricks
 
 from standins import forward_process
 
@@ -25,7 +25,7 @@
 ONCE_RED_DEADLY_SEEDS = (11, 12)
 """Two engines crash together before anything has started: the part that sound
 prompts share was blamed, and stayed so."""
-TRICK_SHARE = 0.5
+CALL_FAULT_SHARE = 0.5
 COPY_SHARE = 0.4
 ROOT = pathlib.Path(os.environ.get("SOAK_ROOT", forward_process.ROOT))
 """The checkout whose instances are played."""
@@ -47,8 +47,8 @@
 
     def __init__(self, folder, seed, deadly_share=0.0, root=ROOT):
         self.rng = random.Random(seed)
-        self.tricks = tricks.Tricks(random.Random(seed))
-        self.fleet = soak_fleet.Fleet(folder, root, self.tricks)
+        self.call_faults = call_faults.CallFaults(random.Random(seed))
+        self.fleet = soak_fleet.Fleet(folder, root, self.call_faults)
         self.counts = collections.Counter()
         self._callers = [
             callers.SoakCaller(self.fleet, self.rng, deadly_share)
@@ -115,7 +115,7 @@
         every = self.fleet.all_backends
         answered = [each for each in self.outcomes if each.complete]
         print(f"faults {dict(self.counts)}, {len(self.outcomes)} requests")
-        print(f"tricks {dict(self.tricks.counts)}")
+        print(f"call faults {dict(self.call_faults.counts)}")
         assert checks.violations(self.outcomes, every) == []
         assert checks.late_runs(self.fleet.left) == []
         assert len(answered) >= MIN_ANSWERED
@@ -123,10 +123,10 @@
 
 async def copy_refusals(soak):
     """Has endpoints refuse and send the refusal once more, some time later."""
-    soak.tricks.kinds = ("copy a refusal",)
-    soak.tricks.share = COPY_SHARE
+    soak.call_faults.kinds = ("copy a refusal",)
+    soak.call_faults.share = COPY_SHARE
     await soak.strike((faults.pause,), overlap=True)
-    soak.tricks.share = 0.0
+    soak.call_faults.share = 0.0
 
 
 def played(tmp_path, seed, script, announced=soak_fleet.BACKENDS, **options):
@@ -204,9 +204,9 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_refusals_and_late_copies_through_pauses_and_stops(tmp_path, seed):
     async def script(soak):
-        soak.tricks.share = TRICK_SHARE
+        soak.call_faults.share = CALL_FAULT_SHARE
         await soak.strike(faults.STOPS, overlap=True)
-        soak.tricks.share = 0.0
+        soak.call_faults.share = 0.0
 
     played(tmp_path, seed, script, soak_fleet.FEW_BACKENDS)
 
@@ -219,10 +219,10 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_runs_that_fail_with_a_status_that_promises(tmp_path, seed):
     async def script(soak):
-        soak.tricks.kinds = tricks.FAILURES
-        soak.tricks.share = TRICK_SHARE
+        soak.call_faults.kinds = call_faults.FAILURES
+        soak.call_faults.share = CALL_FAULT_SHARE
         await soak.strike((faults.pause,), overlap=True)
-        soak.tricks.share = 0.0
+        soak.call_faults.share = 0.0
 
     played(tmp_path, seed, script)
 
