--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -78,6 +78,10 @@
         """Called with this engine and the stage of an accepted order."""
 
     async def _reply(self, received, writer):
+        with self.call_faults.handling(writer):
+            await self._handle(received, writer)
+
+    async def _handle(self, received, writer):
         fault = self.call_faults.draw() if self.call_faults.share else ""
         if received.target.startswith("/sycamoreseam/") or received.prefills:
             await self._reply_apart(received, writer, fault)
@@ -120,6 +124,8 @@
                 received, plain_body(received.request_id)
             )
             self.call_faults.copy_later(writer, whole)
+        elif fault.startswith("answer, later"):
+            self.call_faults.end_later(fault, writer)
 
     async def _reply_apart(self, received, writer, fault):
         """Answers a prefill, or a call that carries no request."""
--- a/tests/soak/call_faults.py
+++ b/tests/soak/call_faults.py
@@ -18,6 +18,7 @@
 """Work before the first byte of an answer, in which a copy may come."""
 LONG_WORK_S = (0.3, 1.5)
 POLL_S = 0.002
+END_AFTER_S = (0.0, 0.1)
 
 REFUSALS = (
     "refuse",
@@ -32,7 +33,12 @@
     "copy a refusal",
 )
 LOSSES = ("reset before work", "reset after work", "answer, then reset")
-ANSWERS = ("copy an answer", "work long")
+ANSWERS = (
+    "copy an answer",
+    "work long",
+    "answer, later close",
+    "answer, later reset",
+)
 FAILURES = ("fail a run with 503", "fail a run with 429", "fail a run with 408")
 """Sealed answers of runs, without the field that says that nothing has run."""
 ALL = REFUSALS + LOSSES + ANSWERS
@@ -56,7 +62,9 @@
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     _busy: set = attrs.field(factory=set)
     """Connections in the middle of an answer."""
-    _copies: set = attrs.field(factory=set)
+    _handling: set = attrs.field(factory=set)
+    """Connections whose request is being handled."""
+    _tasks: set = attrs.field(factory=set)
 
     def draw(self):
         """Returns the fault for a request; empty for none."""
@@ -84,9 +92,34 @@
     def copy_later(self, writer, data):
         """Sends a second copy later, at the place of some next answer."""
         after_s = self.rng.uniform(*COPY_AFTER_S)
-        task = asyncio.ensure_future(self._copy(writer, data, after_s))
-        self._copies.add(task)
-        task.add_done_callback(self._copies.discard)
+        self._start(self._copy(writer, data, after_s))
+
+    @contextlib.contextmanager
+    def handling(self, writer):
+        """Keeps a connection from being ended as idle."""
+        self._handling.add(writer.transport)
+        try:
+            yield
+        finally:
+            self._handling.discard(writer.transport)
+
+    def end_later(self, fault, writer):
+        """Ends a connection that seems idle, as a request may arrive on it."""
+        self._start(self._end(fault, writer))
+
+    async def _end(self, fault, writer):
+        await asyncio.sleep(self.rng.uniform(*END_AFTER_S))
+        if writer.transport in self._handling or writer.is_closing():
+            return
+        if fault == "answer, later reset":
+            reset(writer)
+        else:
+            writer.close()
+
+    def _start(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _copy(self, writer, data, after_s):
         await asyncio.sleep(after_s)
