Test that a failed prefill or hold with such a status costs no request

The decision says that 503 without 'not run' is harmless for prefills and holds: another engine, or another place, is used, and the request runs once.

--- a/tests/seam_node/forward/test_false_promises.py
+++ b/tests/seam_node/forward/test_false_promises.py
@@ -110,3 +110,48 @@
         assert response.headers["retry-after"] == "1.5"
 
     forward_world.run_scenario(scenario)
+
+
+def fails_first(concerns):
+    """Returns a reply whose first call of some kind fails unclearly."""
+    failed = []
+
+    async def reply(endpoint, received, writer):
+        if concerns(received) and not failed:
+            failed.append(received)
+            writer.write(
+                forward_endpoint.answer(received, b"", "503 Unavailable")
+            )
+            return
+        await forward_endpoint.reply_engine(endpoint, received, writer)
+
+    return reply
+
+
+@pytest.mark.parametrize(
+    "concerns",
+    [
+        lambda received: received.prefills,
+        lambda received: received.target == "/sycamoreseam/hold-take",
+    ],
+    ids=["prefill", "hold"],
+)
+def test_failure_of_a_call_that_runs_nothing_costs_no_request(concerns):
+    async def scenario(world):
+        engines = [
+            await world.engine(name, stage)
+            for name, stage in (
+                ("prefill-1", "prefill"),
+                ("decode-1", "decode"),
+                ("decode-2", "decode"),
+            )
+        ]
+        reply = fails_first(concerns)
+        for each in engines:
+            each.reply = reply
+        caller = await world.connect()
+        response = await caller.request_model()
+        assert (response.status, response.complete) == (200, True)
+        assert sum(len(each.ran) for each in engines) == 1
+
+    forward_world.run_scenario(scenario)
