Review: an unreadable entry takes all instances beyond their memory

Cause: the pattern by which an answer of the store is split into parts takes some 115 bytes for each byte of a text. One entry of another writer, of the size that the store allows, is enough.

--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -119,6 +119,8 @@
         self.revision = 1
         self.kinds = {}
         self.changes = []
+        self.raw = {}
+        """Bytes that stand in the answers in place of a marked value."""
         self._changed = asyncio.Event()
 
     async def start(self):
@@ -167,6 +169,8 @@
             while (got := await read_request(reader)) is not None:
                 status, plain = await self._answer(got)
                 body = json.dumps(plain).encode()
+                for mark, raw in self.raw.items():
+                    body = body.replace(mark, raw)
                 writer.write(
                     answer(status, body, Content_Type="application/json")
                 )
@@ -592,6 +596,17 @@
         self.record(f"{signal.Signals(number).name} to {self.name}")
         self.process.send_signal(number)
 
+    def memory_mb(self):
+        """Returns the private memory of the process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status")
+            for line in status.read_text().splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) * 1024 / 1e6
+        except OSError:
+            pass
+        return 0.0
+
     def log(self):
         return self._output.read_text(errors="replace")
 
