Review: let the unreadable entry be JSON

The store of the script sends an entry whose text ends with half of a character, so that its answer stays JSON.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """One entry that can't be read takes all instances beyond their memory."""
 
 import asyncio
+import json
 import pathlib
 import signal
 import sys
@@ -40,13 +41,13 @@
     await asyncio.sleep(2.0)
     record(f"largest private memory so far, MB: {peaks}")
 
-    # Another writer's entry: its `version` is a text with one byte that is no
-    # UTF-8. All else is that of a worker.
+    # Another writer's entry: its `version` is a long text that ends with half of
+    # a character, which is JSON but no text. All else is that of a worker.
     spec = dict(store.kinds["servers"][workers[0].name]["spec"])
-    text = b"x" * (ENTRY_BYTES if not st.NO_TROUBLE else 10)
-    store.raw[b'"RAW"'] = b'"' + text + b'\xff"'
-    store.put("servers", "i-ffff", {**spec, "version": "RAW"})
-    record(f"an entry of {len(text)} bytes comes; value_bytes is {VALUE_BYTES}")
+    text = "x" * (ENTRY_BYTES if not st.NO_TROUBLE else 10) + "\ud83d"
+    store.put("servers", "i-ffff", {**spec, "version": text})
+    item = json.dumps(store.kinds["servers"]["i-ffff"])
+    record(f"an entry of {len(item)} bytes comes; value_bytes is {VALUE_BYTES}")
     outcomes = []
     until = record.now() + LASTS_S
     while record.now() < until:
--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -119,8 +119,6 @@
         self.revision = 1
         self.kinds = {}
         self.changes = []
-        self.raw = {}
-        """Bytes that stand in the answers in place of a marked value."""
         self._changed = asyncio.Event()
 
     async def start(self):
@@ -169,8 +167,6 @@
             while (got := await read_request(reader)) is not None:
                 status, plain = await self._answer(got)
                 body = json.dumps(plain).encode()
-                for mark, raw in self.raw.items():
-                    body = body.replace(mark, raw)
                 writer.write(
                     answer(status, body, Content_Type="application/json")
                 )
