--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -46,10 +47,28 @@
         self._file.flush()
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+_used_ports = set()
+
+
+def free_port():
+    """Returns a port that is free for TCP and UDP and was not returned before.
+
+    It lies below those that the system gives to outgoing connections, so that
+    none of them takes it before the process that is started binds it.
+    """
+    for _ in range(200):
+        port = random.randrange(12000, 30000)
+        if port in _used_ports:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind((HOST, port))
+        except OSError:
+            continue
+        _used_ports.add(port)
+        return port
+    raise CannotRun("no free port")
 
 
 # HTTP
