Let endpoints that answer early set their own socket buffers

Ten tests of early answers had a verdict that hung on the kernel's buffers: they need a body of 4 MB that the peer's kernel does not take whole. Where it did (4,291,584 bytes on the reviewer's machine, 4,252,779 with a plain socket on this one, x86_64, 6.18), a body counted as written, and a part of an answer as all of it.

The endpoint of these tests now limits its receive buffer, its segments and what it reads ahead. A small receive buffer alone does not do: with segments of 64 KB the sender's buffer still grows to 4 MB (3,842,048 bytes taken). No assertion was changed.

--- a/tests/seam_node/forward/test_early_answers.py
+++ b/tests/seam_node/forward/test_early_answers.py
@@ -13,7 +13,6 @@
 from standins import forward_world
 
 UPLOAD_BYTES = 4_000_000
-SMALL_BUFFER_BYTES = 16 * 1024
 MODEL = {"Model": "m", "Token_Count": "100,50"}
 PART = b"x" * 3000
 EVENT = forward_endpoint.event(1)
@@ -21,7 +20,7 @@
 
 
 def upload():
-    """Returns a body that the buffers of the kernel do not hold."""
+    """Returns a body that small buffers do not hold."""
     return b"u" * UPLOAD_BYTES
 
 
@@ -62,7 +61,9 @@
 
 async def early_endpoint(world, name, service, reply, stage="", only=is_run):
     """Starts an endpoint that reads no body of the requests concerned."""
-    endpoint = await world.endpoint(name, service, reply, stage)
+    endpoint = await world.endpoint(
+        name, service, reply, stage, small_buffers=True
+    )
     endpoint.answers_early = only
     return endpoint
 
--- a/tests/standins/forward_endpoint.py
+++ b/tests/standins/forward_endpoint.py
@@ -14,6 +14,9 @@
 import attrs
 
 EVENTS = 5
+SMALL_BUFFER_BYTES = 16 * 1024
+SMALL_SEGMENT_BYTES = 1400
+"""Segments on loopback are else so large that a few fill megabytes."""
 
 
 @attrs.define
@@ -190,9 +193,20 @@
 class Endpoint:
     """Listens on loopback and answers through its reply function."""
 
-    def __init__(self, endpoint_id: str, reply: Reply):
+    def __init__(
+        self, endpoint_id: str, reply: Reply, small_buffers: bool = False
+    ):
+        """Creates an endpoint.
+
+        Args:
+            endpoint_id: its id.
+            reply: answers requests.
+            small_buffers: whether little is taken of what the endpoint does
+                not read, whatever the limits of the kernel are.
+        """
         self.id = endpoint_id
         self.reply = reply
+        self.small_buffers = small_buffers
         self.received: list[ReceivedRequest] = []
         self.ran: list[ReceivedRequest] = []
         self.orders: list[dict] = []
@@ -205,17 +219,18 @@
         """Header fields that each answer has besides its own."""
         self.answers_early: Callable[[ReceivedRequest], bool] = lambda _: False
         """Whether a request is answered before its body is read."""
-        self.receive_buffer_bytes: int | None = None
-        """Size of the kernel's buffer of each connection; None for its own."""
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        sock = socket.create_server(("127.0.0.1", 0))
-        if self.receive_buffer_bytes is not None:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
-            )
-        self._server = await asyncio.start_server(self._serve, sock=sock)
+        sock = socket.socket()
+        limits = {}
+        if self.small_buffers:
+            _limit_buffers(sock)
+            limits["limit"] = SMALL_BUFFER_BYTES
+        sock.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(
+            self._serve, sock=sock, **limits
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
@@ -282,6 +297,15 @@
         await writer.drain()
 
 
+def _limit_buffers(sock: socket.socket) -> None:
+    """Limits what the kernels of both ends hold, before the socket listens.
+
+    The sender's buffer grows with the segments that the receiver lets through.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SMALL_SEGMENT_BYTES)
+
+
 async def _read_head(reader: asyncio.StreamReader) -> ReceivedRequest | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/standins/forward_world.py
+++ b/tests/standins/forward_world.py
@@ -145,10 +145,11 @@
         service: str = CALLS,
         reply: forward_endpoint.Reply = forward_endpoint.reply_whole,
         stage: str = "",
+        small_buffers: bool = False,
         **changes: object,
     ) -> forward_endpoint.Endpoint:
         """Starts and announces an endpoint; waits until it is usable."""
-        new_endpoint = forward_endpoint.Endpoint(name, reply)
+        new_endpoint = forward_endpoint.Endpoint(name, reply, small_buffers)
         await new_endpoint.start()
         self._endpoints.append(new_endpoint)
         self.store.put(
