--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -10,6 +10,7 @@
 from seam_node import logs
 from seam_node import metrics
 from seam_node.forward.callers import caller_server
+from seam_node.forward.callers import connection_answer
 from seam_node.forward.callers import context
 from seam_node.forward.callers import refusals
 from seam_node.ports import wire
@@ -61,7 +62,7 @@
     async def handle(
         self,
         raw: caller_server.RawRequest,
-        answer: caller_server.ConnectionAnswer,
+        answer: connection_answer.ConnectionAnswer,
     ) -> None:
         """Handles one request.
 
@@ -102,7 +103,9 @@
                 self._finish_failed(ctx, answer, error)
             self._record_end(ctx, error)
 
-    def refuse_unparsed(self, answer: caller_server.ConnectionAnswer) -> None:
+    def refuse_unparsed(
+        self, answer: connection_answer.ConnectionAnswer
+    ) -> None:
         """Starts to answer a request that the instance has no room for."""
         retry_after_s = self._return_times.assign(
             self._now(), MEMORY_RETRY_STEP_S, MAX_MEMORY_RETRY_S
@@ -120,7 +123,7 @@
     def _finish_failed(
         self,
         ctx: context.ForwardContext,
-        answer: caller_server.ConnectionAnswer,
+        answer: connection_answer.ConnectionAnswer,
         error: errors.SeamError,
     ) -> None:
         if answer.started:
@@ -132,7 +135,7 @@
 
     def _send_refusal(
         self,
-        answer: caller_server.ConnectionAnswer,
+        answer: connection_answer.ConnectionAnswer,
         error: errors.SeamError,
         may_have_run: bool,
         retry_after_s: float = 0.5,
