Close idle connections in one step, once nothing runs

Cause: the exit looked whether a request ran, and then the HTTP server closed the connections one by one, with the event loop running between them. What arrived on those that were still open was accepted and sent, and their connections were closed as well.

Idle connections are now closed in one step at a look at which nothing runs; one on which anything has arrived, also in the kernel's buffer, stays until it is answered, and the instance until no connection is left or its exit time is reached. Then requests are refused as not run for 0.1 s at most, and the rest is cut off in one step. The side servers and the product's own interface close by the same code.

Ruled out: the cancelling at the exit, as nothing ran, and the endpoints, which answered.

--- a/packages/seam_node/seam_node/adapters/client_server.py
+++ b/packages/seam_node/seam_node/adapters/client_server.py
@@ -1,5 +1,6 @@
 """HTTP server with limits on its clients' connections."""
 
+import asyncio
 from collections.abc import Callable
 import socket
 import time
@@ -14,6 +15,8 @@
 
 SWEEP_INTERVAL_S = 5.0
 """Interval at which clients are sought that read nothing."""
+CLOSE_POLL_INTERVAL_S = 0.01
+"""Interval at which answers to the last requests are awaited."""
 # Reasons for which connections are closed.
 PIPELINED, IDLE, UNREAD, REFUSED = "pipelined", "idle", "unread", "refused"
 
@@ -71,6 +74,36 @@
         """Open connections."""
         return len(self._streams)
 
+    def close_idle(self) -> int:
+        """Closes the connections on which no request is under way.
+
+        Returns the number of those that are left.
+        """
+        for each in tuple(self._streams):
+            if each.is_idle():
+                self._close(each)
+        return len(self._streams)
+
+    async def close_connections(self, answer_s: float) -> int:
+        """Closes all connections; the server must have stopped.
+
+        All that are cut off are closed in one step, so that no request is
+        taken from one of them meanwhile.
+
+        Args:
+            answer_s: time for the answers to requests that are under way.
+
+        Returns the number of connections that were cut off.
+        """
+        gives_up_at = time.monotonic() + answer_s
+        while self.close_idle() and time.monotonic() < gives_up_at:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+        cut = tuple(self._streams)
+        for each in cut:
+            self._close(each)
+        await self.close_all_connections()
+        return len(cut)
+
     def on_close(self, server_conn: Any) -> None:
         """Forgets a connection."""
         self._forget(server_conn.stream)
--- a/packages/seam_node/seam_node/adapters/client_stream.py
+++ b/packages/seam_node/seam_node/adapters/client_stream.py
@@ -6,6 +6,8 @@
 
 from tornado import iostream
 
+from seam_node.adapters import tcp
+
 BODY_READ_BYTES = 64 * 1024
 """Most bytes of an awaited body that are read at a time."""
 MIN_EARLY_REQUESTS = 2
@@ -64,6 +66,15 @@
         """Whether a request's head has arrived and its answer is not sent."""
         return self._read_regex is None
 
+    def is_idle(self) -> bool:
+        """Returns whether the next request is awaited and none of it is here.
+
+        Bytes that the kernel has received count as here.
+        """
+        if self.in_progress or self._read_buffer_size or self.unsent_bytes:
+            return False
+        return not tcp.has_unread(self.socket)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that are buffered because the client does not read them."""
--- a/packages/seam_node/seam_node/adapters/tcp.py
+++ b/packages/seam_node/seam_node/adapters/tcp.py
@@ -1,4 +1,4 @@
-"""Socket options for dead peer detection by the kernel."""
+"""Dead peer detection by the kernel, and what it has received."""
 
 import socket
 
@@ -22,3 +22,16 @@
     """Lets the kernel close a connection whose peer stops answering."""
     for level, option, value in _OPTIONS:
         sock.setsockopt(level, option, value)
+
+
+def has_unread(sock: socket.socket) -> bool:
+    """Returns whether bytes of the peer have arrived that nobody has read.
+
+    Args:
+        sock: a non-blocking socket.
+    """
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        # Nothing is there, or the connection has failed.
+        return False
--- a/packages/seam_node/seam_node/daemon.py
+++ b/packages/seam_node/seam_node/daemon.py
@@ -31,6 +31,8 @@
 
 EXIT_BAD_SETTINGS = 2
 MICROS_PER_S = 1_000_000
+LAST_ANSWERS_S = 0.1
+"""Time at the exit for the answers to requests that had just arrived."""
 
 app = typer.Typer(add_completion=False)
 
@@ -115,7 +117,7 @@
     await instance.drain.wait_ended()
     server.stop()
     admin_server.stop()
-    await server.close_all_connections()
+    await server.close_connections(LAST_ANSWERS_S)
     await instance.close()
 
 
--- a/packages/seam_node/seam_node/forward/callers/caller_server.py
+++ b/packages/seam_node/seam_node/forward/callers/caller_server.py
@@ -25,6 +25,8 @@
 MAX_SIZE_DIGITS = 15
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval at which the end of all requests is checked."""
+LAST_ANSWERS_S = 0.1
+"""Time at the exit for the answers to requests that had just arrived."""
 MAX_BODY_S = 20.0
 """Longest time in which a body arrives; no caller waits longer."""
 
@@ -84,7 +86,9 @@
 Handler = Callable[
     [RawRequest, connection_answer.ConnectionAnswer], Awaitable[None]
 ]
-Refuse = Callable[[connection_answer.ConnectionAnswer], None]
+Refuse = Callable[[connection_answer.ConnectionAnswer, bool], None]
+"""Starts to answer a request that must not run: as the instance exits (True),
+or for want of room."""
 
 
 class _Incoming(httputil.HTTPMessageDelegate):
@@ -127,7 +131,7 @@
             self._body_timer = asyncio.get_running_loop().call_later(
                 MAX_BODY_S, self._conn.close
             )
-        if self._server.is_full():
+        if self._server.admits_none():
             self._refuse_unread()
             return None
         head_size = _head_size(headers)
@@ -152,8 +156,9 @@
 
     def finish(self) -> None:
         self._stop_body_timer()
-        if not self._refused and self._server.is_full():
-            # Others have begun to run while its body arrived.
+        if not self._refused and self._server.admits_none():
+            # Others have begun to run while its body arrived, or the instance
+            # exits.
             self._refuse()
         if self._refused:
             self._answer.finish()
@@ -194,7 +199,6 @@
         self._refused = True
         self._request.drop_body()
         self._head_hold.release()
-        self._server.memory.refused += 1
         self._server.refuse(self._answer)
 
     def _stop_body_timer(self) -> None:
@@ -245,19 +249,19 @@
 
         Args:
             handler: handles each request.
-            refuse: starts the answer to a request that must not run, for want
-                of memory or as too many run.
+            refuse: starts the answer to a request that must not run.
             memory: admits the bodies.
             now: the clock for arrival times.
             limits: initial limits on requests.
             capacity: limits on connections and requests in progress.
         """
         self.handler = handler
-        self.refuse = refuse
+        self._start_refusal = refuse
         self.memory = memory
         self.now = now
         self.running: set[asyncio.Task] = set()
         self._max_requests = capacity.max_requests
+        self._is_closing = False
         self._server = client_server.ClientServer(
             self,
             limits=capacity.connections,
@@ -290,9 +294,15 @@
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
 
-    def is_full(self) -> bool:
+    def admits_none(self) -> bool:
         """Returns whether no further request may run now."""
-        return len(self.running) >= self._max_requests
+        return self._is_closing or len(self.running) >= self._max_requests
+
+    def refuse(self, answer: connection_answer.ConnectionAnswer) -> None:
+        """Starts to answer a request that must not run."""
+        if not self._is_closing:
+            self.memory.refused += 1
+        self._start_refusal(answer, self._is_closing)
 
     def count_unsent(self, stream: client_stream.ClientStream) -> None:
         """Counts buffered bytes of an answer until the caller has read them."""
@@ -319,24 +329,37 @@
         self._server.conn_params.no_keep_alive = True
 
     async def drain(self, until: float) -> None:
-        """Waits until no request runs, at most until a time of the clock."""
-        while self.running and self.now() < until:
+        """Waits for the running requests, then closes the idle connections.
+
+        A connection on which a request arrives stays until that is answered,
+        so none is taken that the exit would cut off.
+
+        Args:
+            until: time of the clock at which to return in any case.
+        """
+        while self.now() < until:
+            if not self.running and not self._server.close_idle():
+                return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def stop_accepting(self) -> None:
         """Closes the listening sockets."""
         self._server.stop()
 
-    async def close(self) -> None:
-        """Cancels the running requests and closes all connections."""
+    async def close(self) -> int:
+        """Cancels the running requests and closes all connections.
+
+        Requests that arrive meanwhile are refused. Returns the number of
+        connections that were cut off.
+        """
+        self._is_closing = True
+        self.refuse_reuse()
         self._server.stop()
-        while self.running:
-            # Requests that arrive meanwhile are cancelled in the next round.
-            running = tuple(self.running)
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
-        await self._server.close_all_connections()
+        running = tuple(self.running)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        return await self._server.close_connections(LAST_ANSWERS_S)
 
 
 def _body_size(headers: httputil.HTTPHeaders) -> int:
--- a/packages/seam_node/seam_node/forward/callers/handler.py
+++ b/packages/seam_node/seam_node/forward/callers/handler.py
@@ -12,6 +12,7 @@
 from seam_node.forward.callers import caller_server
 from seam_node.forward.callers import connection_answer
 from seam_node.forward.callers import context
+from seam_node.forward.callers import departure
 from seam_node.forward.callers import refusals
 from seam_node.ports import wire
 from seam_policy import retry_after_schedule
@@ -104,15 +105,27 @@
             self._record_end(ctx, error)
 
     def refuse_unparsed(
-        self, answer: connection_answer.ConnectionAnswer
+        self, answer: connection_answer.ConnectionAnswer, is_leaving: bool
     ) -> None:
-        """Starts to answer a request that the instance has no room for."""
-        retry_after_s = self._return_times.assign(
-            self._now(), MEMORY_RETRY_STEP_S, MAX_MEMORY_RETRY_S
-        )
-        refusal = refusals.refusal_for(errors.MemorySpent(), False)
+        """Starts to answer a request that must not run.
+
+        Args:
+            answer: the answer to send.
+            is_leaving: whether the instance exits; it has no room otherwise.
+        """
+        error: errors.SeamError = errors.MemorySpent()
+        retry_after_s = departure.RETRY_AFTER_S
+        if is_leaving:
+            error = errors.InstanceLeaving(self._instance)
+        else:
+            retry_after_s = self._return_times.assign(
+                self._now(), MEMORY_RETRY_STEP_S, MAX_MEMORY_RETRY_S
+            )
+        refusal = refusals.refusal_for(error, False)
         self._log.event(
-            "request_refused_unread", retry_after_s=round(retry_after_s, 3)
+            "request_refused_unread",
+            outcome=error.code,
+            retry_after_s=round(retry_after_s, 3),
         )
         answer.send_early(
             refusal.status.value,
--- a/packages/seam_node/seam_node/forward/callers/side_servers.py
+++ b/packages/seam_node/seam_node/forward/callers/side_servers.py
@@ -59,7 +59,7 @@
     async def close(self) -> None:
         """Closes listening sockets and connections."""
         self._server.stop()
-        await self._server.close_all_connections()
+        await self._server.close_connections(0.0)
 
     def _serve(self, req: httputil.HTTPServerRequest) -> None:
         answer = self._handler(req)
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -151,13 +151,13 @@
         """Closes the controllers and all connections."""
         self._idle_closer.cancel()
         self._announcer.close()
-        await self.caller_server.close()
+        cut_count = await self.caller_server.close()
         for each in reversed(self._controllers()):
             await each.close()
         await self.releases.close()
         self._conns.close()
         await self.ports.catalog.close()
-        self.log.event("instance_stopped")
+        self.log.event("instance_stopped", connections_cut=cut_count)
 
     async def leave(self) -> None:
         """Stops accepting callers and waits for the running requests.
--- a/tests/seam_node/adapters/test_client_server.py
+++ b/tests/seam_node/adapters/test_client_server.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 
+from tornado import httputil
 from tornado import netutil
 
 from seam_node.adapters import client_server
 
 ASK = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+OK = httputil.ResponseStartLine("HTTP/1.1", 200, "OK")
 READ_AHEAD_BYTES = 4096
 
 
@@ -50,6 +52,11 @@
                 await asyncio.sleep(0.01)
 
 
+def answer(conn):
+    conn.write_headers(OK, httputil.HTTPHeaders({"Content-Length": "0"}))
+    conn.finish()
+
+
 def run(scenario, **options):
     async def main():
         served = Served(**options)
@@ -105,3 +112,40 @@
         assert not busy.at_eof()
 
     run(scenario, max_connections=3)
+
+
+def test_connection_on_which_a_request_has_arrived_is_not_closed_as_idle():
+    """Guards against a close that resets a request the kernel has received."""
+
+    async def scenario(served):
+        await served.connect()
+        reader, asking = await served.connect()
+        await served.until(lambda: served.server.connection_count == 2)
+        await asyncio.sleep(0.05)
+        asking.write(ASK)
+        assert served.server.close_idle() == 1
+        await served.until(lambda: served.waiting)
+        assert served.server.close_idle() == 1
+        answer(served.waiting[0])
+        assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+        await asyncio.sleep(0.05)
+        assert served.server.close_idle() == 0
+
+    run(scenario)
+
+
+def test_connections_are_closed_in_one_step_after_the_last_answers():
+    """Guards against requests that are taken from one that is to be closed."""
+
+    async def scenario(served):
+        asked = [await served.connect(ASK) for _ in range(3)]
+        await served.until(lambda: len(served.waiting) == 3)
+        served.server.stop()
+        closing = asyncio.ensure_future(served.server.close_connections(0.2))
+        await asyncio.sleep(0)
+        answer(served.waiting[0])
+        assert await asked[0][0].readline() == b"HTTP/1.1 200 OK\r\n"
+        assert await closing == 2
+        assert served.server.connection_count == 0
+
+    run(scenario)
--- a/tests/seam_node/forward/test_leaving.py
+++ b/tests/seam_node/forward/test_leaving.py
@@ -10,6 +10,10 @@
 EXIT_S = 2.6
 """Time from a stop to the exit with the grace period of the tests."""
 SLACK_S = 0.2
+SHORT_MS = 300
+"""Deadline of a call that an instance still takes while it leaves."""
+KEPT = 40
+"""Connections that callers keep open."""
 LONG = "100,1800"
 """Tokens of a stream that takes some 1.5 s at the expected rate."""
 ROUTES = [
@@ -155,3 +159,98 @@
         await closing
 
     forward_world.run_scenario(scenario)
+
+
+async def keep_connections(world):
+    """Returns callers whose connections have carried a request and are idle."""
+    callers = [await world.connect() for _ in range(KEPT)]
+    for each in callers:
+        assert (await each.request("/write/x")).status == 200
+    return callers
+
+
+async def outcome(caller):
+    """Returns the status of a complete answer; None if there is none."""
+    try:
+        response = await caller.read()
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return None
+    return response.status if response.complete else None
+
+
+def unanswered_runs(endpoint, sent, statuses):
+    """Returns the requests that ran and got no answer."""
+    ran = {each.request_id for each in endpoint.ran}
+    answered = {
+        own for own, status in zip(sent, statuses, strict=True) if status
+    }
+    return ran & set(sent) - answered
+
+
+def test_call_sent_as_the_connections_are_closed_is_answered_or_not_run():
+    """Guards against calls that run while their connections are closed."""
+
+    async def scenario(world):
+        endpoint = await world.endpoint("e-1")
+        callers = await keep_connections(world)
+        await world.node.leave()
+        sent = [each.send("/write/x", deadline_ms=SHORT_MS) for each in callers]
+        await world.node.caller_server.close()
+        statuses = [await outcome(each) for each in callers]
+        assert unanswered_runs(endpoint, sent, statuses) == set()
+
+    forward_world.run_scenario(scenario)
+
+
+def test_calls_that_arrive_before_the_exit_are_refused_beside_a_running_one():
+    """Guards against closed connections, and calls that run for nobody."""
+
+    async def scenario(world):
+        endpoint = await world.endpoint("e-1")
+        callers = await keep_connections(world)
+
+        async def hang(endpoint, received, writer):
+            await asyncio.sleep(forward_world.WAIT_S)
+
+        endpoint.reply = hang
+        last = await world.connect()
+        last.send("/write/last")
+        await world.until(
+            lambda: any(r.target == "/write/last" for r in endpoint.received)
+        )
+        await world.node.leave()
+        ran = len(endpoint.received)
+        for each in callers:
+            each.send("/write/x")
+        await world.node.caller_server.close()
+        statuses = [await outcome(each) for each in callers]
+        assert statuses == [503] * KEPT
+        assert len(endpoint.received) == ran
+
+    forward_world.run_scenario(scenario)
+
+
+def test_calls_through_a_whole_stop_are_answered_or_not_run():
+    """Guards against a moment of the stop in which calls get lost."""
+
+    async def scenario(world):
+        endpoint = await world.endpoint("e-1")
+        callers = await keep_connections(world)
+
+        async def stop():
+            await world.node.leave()
+            await world.node.caller_server.close()
+
+        stopping = asyncio.ensure_future(stop())
+        sent, statuses = [], []
+        while not stopping.done() and callers:
+            caller = callers.pop()
+            sent.append(caller.send("/write/x", deadline_ms=SHORT_MS))
+            statuses.append(asyncio.ensure_future(outcome(caller)))
+            await asyncio.sleep(EXIT_S / KEPT)
+        await stopping
+        statuses = [await each for each in statuses]
+        assert unanswered_runs(endpoint, sent, statuses) == set()
+        assert 200 in statuses
+
+    forward_world.run_scenario(scenario)
