Let stopping instances coordinate when no other is left

Cause: an instance that stops does not coordinate, so there was no coordinator at all; each instance then asked its own keeper, which granted the whole rate as it heard all others.

If no instance serves, those that stop coordinate until they exit. A heartbeat says whether its instance stops; one that has only started still does not coordinate. Orders are sent by serving instances only, as before.

Ruled out: a second keeper beside one that serves, and a split, as nothing was cut.

--- a/packages/seam_node/seam_node/forward/fleet/coordinators.py
+++ b/packages/seam_node/seam_node/forward/fleet/coordinators.py
@@ -5,6 +5,9 @@
 places at engines and sends orders; the second is kept informed, so that it can
 take over at once. Views may differ for a moment: two instances that decide
 cost quality, never a promise, as engines themselves refuse what is too much.
+
+When all instances stop together, those that are stopping coordinate until they
+exit. Otherwise each would decide by itself, and grant whole quotas.
 """
 
 from collections.abc import Callable
@@ -50,13 +53,14 @@
 
     def ordered(self) -> list[messages.Heartbeat]:
         """Returns the instances that may coordinate, the first one first."""
-        serving = [
-            each for each in (*self._live(), self._own()) if each.serving
+        instances = (*self._live(), self._own())
+        candidates = [each for each in instances if each.serving] or [
+            each for each in instances if each.leaving
         ]
-        largest = max((each.capacity for each in serving), default=0.0)
+        largest = max((each.capacity for each in candidates), default=0.0)
         able = [
             each
-            for each in serving
+            for each in candidates
             if each.capacity >= MIN_CAPACITY_SHARE * largest
         ]
         return sorted(
@@ -79,11 +83,14 @@
     def order_position(self, name: str) -> int | None:
         """Returns an instance's position among those that may send orders.
 
-        An instance without the store cannot renew the lease for orders. None
-        if the instance has no position.
+        An instance without the store cannot renew the lease for orders, and
+        one that stops would soon give it up. None if the instance has no
+        position.
         """
         names = [
-            each.entry.name for each in self.ordered() if each.reaches_store
+            each.entry.name
+            for each in self.ordered()
+            if each.serving and each.reaches_store
         ]
         return names.index(name) if name in names else None
 
--- a/packages/seam_node/seam_node/forward/fleet/message_codec.py
+++ b/packages/seam_node/seam_node/forward/fleet/message_codec.py
@@ -19,7 +19,7 @@
 MAX_ARRAY_LENGTH = 2048
 """Most elements of an array; a datagram has no room for more rows. The decoder
 takes memory for as many elements as an array states before it reads them."""
-_VERSION = 4
+_VERSION = 5
 _BY_TAG: dict[int, type] = {
     1: messages.Heartbeat,
     2: messages.StreamReport,
--- a/packages/seam_node/seam_node/forward/fleet/messages.py
+++ b/packages/seam_node/seam_node/forward/fleet/messages.py
@@ -22,6 +22,8 @@
     """Processor capacity, relative to one core."""
     reaches_store: bool
     """Whether the platform's store answers it."""
+    leaving: bool = False
+    """Whether the instance stops. It answers other instances until its exit."""
 
 
 @attrs.frozen
--- a/packages/seam_node/seam_node/forward/node.py
+++ b/packages/seam_node/seam_node/forward/node.py
@@ -432,6 +432,7 @@
             self.routes.version(),
             self.settings.capacity.cores(),
             not self._store_link.unreachable,
+            self._leaving,
         )
 
     def _order_position(self) -> int:
--- a/tests/seam_node/forward/quota/test_fleet_quotas.py
+++ b/tests/seam_node/forward/quota/test_fleet_quotas.py
@@ -4,6 +4,7 @@
 import itertools
 
 import attrs
+import pytest
 
 from seam_model import errors
 from seam_model import forwarding
@@ -127,6 +128,28 @@
     placement_world.run(scenario, names=NAMES, decode=6)
 
 
+async def stop_in_turn(world, pause_s):
+    for name in tuple(world.instances):
+        await asyncio.sleep(pause_s)
+        world.leaving.add(name)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.2, 1.0])
+def test_instances_that_all_stop_use_the_quota_together(pause_s):
+    """Guards against instances that stop and each grant the whole quota."""
+
+    async def scenario(world):
+        configure(world, FLOOD)
+        await asyncio.sleep(2.0)
+        stopping = asyncio.ensure_future(stop_in_turn(world, pause_s))
+        results = await send(world, FLOOD, 0.04, 12.0)
+        await stopping
+        assert 0.7 * most_served(12.0) <= served(results)
+        assert served(results) <= most_served(12.5, requests=3)
+
+    placement_world.run(scenario, names=NAMES, decode=8)
+
+
 def test_instances_that_see_few_others_use_a_part_of_the_rate():
     """Guards against isolated instances that each grant the rate."""
 
--- a/tests/standins/placement_world.py
+++ b/tests/standins/placement_world.py
@@ -149,7 +149,10 @@
         return self.entry.name
 
     def heartbeat(self) -> messages.Heartbeat:
-        return messages.Heartbeat(self.entry, True, 1, self.capacity, True)
+        leaving = self.name in self.world.leaving
+        return messages.Heartbeat(
+            self.entry, not leaving, 1, self.capacity, True, leaving
+        )
 
     def send(
         self, message: messages.Message, to: forwarding.InstanceEntry
@@ -230,6 +233,8 @@
         self.silent: set[str] = set()
         """Instances that neither send nor receive."""
         self.known_dead: set[str] = set()
+        self.leaving: set[str] = set()
+        """Instances that stop; they go on with their requests."""
         self.cuts: set[frozenset[str]] = set()
         self.lost: set[type] = set()
         """Types of messages that are lost."""
