Keep a quota's debt when both of its keepers are lost

Cause: the debt that a cut leaves is known to the two informed keepers only. With both lost their successor starts empty, and one that returns is the first coordinator again and starts empty beside one that still knows the debt.

A third keeper now gets the totals of all instances, and the three tell each other their debts; one that started anew less than a window ago takes them over. Neither message is sent where no workspace has a quota.

The model of the fleet in test_quota.py now reports to three and tells debts as the product does; its faults, losses of messages and bound are as they were.

--- a/packages/seam_node/seam_node/forward/fleet/coordinators.py
+++ b/packages/seam_node/seam_node/forward/fleet/coordinators.py
@@ -71,14 +71,18 @@
 
     def responsive(self) -> list[forwarding.InstanceEntry]:
         """Returns the first coordinators that are not suspected."""
+        found = self.first(COUNT)
+        self._note_first(found[0].name if found else "")
+        return found
+
+    def first(self, count: int) -> list[forwarding.InstanceEntry]:
+        """Returns at most `count` instances, those first that coordinate."""
         now = self._now()
-        found = [
+        return [
             each.entry
             for each in self.ordered()
             if self._suspected_until.get(each.entry.name, 0.0) <= now
-        ][:COUNT]
-        self._note_first(found[0].name if found else "")
-        return found
+        ][:count]
 
     def order_position(self, name: str) -> int | None:
         """Returns an instance's position among those that may send orders.
--- a/packages/seam_node/seam_node/forward/fleet/fleet_links.py
+++ b/packages/seam_node/seam_node/forward/fleet/fleet_links.py
@@ -15,6 +15,8 @@
     own_name: str
     coordinators: Callable[[], list[forwarding.InstanceEntry]]
     """Returns the coordinators, this instance included."""
+    first: Callable[[int], list[forwarding.InstanceEntry]]
+    """Returns a number of instances, the coordinators first."""
     others: Callable[[], list[forwarding.InstanceEntry]]
     """Returns all other live instances."""
     send: Callable[[messages.Message, forwarding.InstanceEntry], None]
--- a/packages/seam_node/seam_node/forward/fleet/message_codec.py
+++ b/packages/seam_node/seam_node/forward/fleet/message_codec.py
@@ -31,6 +31,8 @@
     8: messages.QuarantineNotice,
     9: messages.LimitNotice,
     10: messages.QuotaNotice,
+    11: messages.UsageReport,
+    12: messages.KeeperDebts,
     # Tags from 20 on are those of plain calls.
     20: service_messages.ServiceAsk,
     21: service_messages.ServiceAnswer,
--- a/packages/seam_node/seam_node/forward/fleet/messages.py
+++ b/packages/seam_node/seam_node/forward/fleet/messages.py
@@ -293,8 +293,34 @@
     outcome: Outcome
 
 
+@attrs.frozen
+class UsageReport:
+    """What an instance has counted, for keepers that get no `StreamReport`."""
+
+    holder: str
+    incarnation: int
+    usage: tuple[UsageRow, ...]
+
+
+@attrs.frozen
+class DebtRow:
+    """A workspace that has used more than its quota."""
+
+    workspace: str
+    units: float
+    """Units by which its bucket is below zero."""
+
+
+@attrs.frozen
+class KeeperDebts:
+    """Tells quota keepers which debts another one knows of."""
+
+    rows: tuple[DebtRow, ...]
+
+
 Message = (
     Heartbeat
+    | KeeperDebts
     | LimitNotice
     | StreamReport
     | PlaceAsk
@@ -304,4 +330,5 @@
     | QuarantineNotice
     | QuotaNotice
     | StreamEnded
+    | UsageReport
 )
--- a/packages/seam_node/seam_node/forward/placement/fleet_placement.py
+++ b/packages/seam_node/seam_node/forward/placement/fleet_placement.py
@@ -86,6 +86,7 @@
         links = fleet_links.FleetLinks(
             entry.name,
             self.coordinators.responsive,
+            self.coordinators.first,
             lambda: [each.entry for each in fleet.live()],
             fleet.send,
         )
@@ -178,6 +179,8 @@
             messages.PromptLost: self.prompts.on_lost,
             messages.QuarantineNotice: self.prompts.on_notice,
             messages.QuotaNotice: self.quotas.gate.on_notice,
+            messages.UsageReport: self._service.on_usage,
+            messages.KeeperDebts: self.quotas.on_debts,
             messages.PrefillEnded: self._service.on_prefill_ended,
             messages.StreamEnded: self._service.on_ended,
             messages.StreamReport: self._service.on_report,
--- a/packages/seam_node/seam_node/forward/placement/placement_service.py
+++ b/packages/seam_node/seam_node/forward/placement/placement_service.py
@@ -154,6 +154,11 @@
             self._prompts.on_report(report.prompts, entry)
             self._limits.on_report(report.limits, entry)
 
+    def on_usage(self, report: messages.UsageReport) -> None:
+        """Charges what another instance has counted, to this one's keeper."""
+        if self._note_holder(report.holder, report.incarnation):
+            self._quotas.on_usage(report)
+
     def _note_holder(self, holder: str, incarnation: int) -> bool:
         """Notes a holder's incarnation; returns whether it is the latest."""
         known = self._incarnations.get(holder, incarnation)
--- a/packages/seam_node/seam_node/forward/quota/fleet_quotas.py
+++ b/packages/seam_node/seam_node/forward/quota/fleet_quotas.py
@@ -6,6 +6,7 @@
 from seam_model import forward_settings
 from seam_model import forwarding
 from seam_node import logs
+from seam_node.forward.fleet import coordinators
 from seam_node.forward.fleet import fleet_links
 from seam_node.forward.fleet import messages
 from seam_node.forward.quota import gate
@@ -16,6 +17,11 @@
 """Interval of notices, and of this instance's reports to its own keeper."""
 CHECK_INTERVAL_S = 0.1
 """Least time between two checks for quotas that are used up."""
+KEEPER_COUNT = 3
+"""Instances whose keepers get all reports. It is one more than there are
+coordinators, so that one that knows the debts is left if both are lost."""
+IDLE_INTERVALS = 8
+"""Intervals between two reports to a keeper without new use."""
 MAX_NOTICES_PER_S = 200.0
 """Most notices that the first coordinator sends; their interval grows with the
 fleet beyond that."""
@@ -51,6 +57,8 @@
         fleet.connect(self.keeper.accounts.heard_since)
         self._fleet = fleet
         self._checked_at = self._noticed_at = float("-inf")
+        self._reported: tuple[messages.UsageRow, ...] = ()
+        self._skipped = 0
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -93,11 +101,47 @@
         self.keeper.on_report(report.holder, report.incarnation, report.usage)
         self._notify()
 
+    def on_usage(self, report: messages.UsageReport) -> None:
+        """Charges what another instance has counted."""
+        self.keeper.on_report(report.holder, report.incarnation, report.usage)
+
+    def on_debts(self, debts: messages.KeeperDebts) -> None:
+        """Takes over debts of which another keeper knows."""
+        self.keeper.on_debts(debts.rows)
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(INTERVAL_S)
             self.keeper.forget_silent()
             self._notify()
+            if self.keeper.has_quotas:
+                self._inform_keepers()
+
+    def _inform_keepers(self) -> None:
+        """Reports to keepers beside the coordinators; tells debts to all."""
+        keepers = self._links.first(KEEPER_COUNT)
+        debts = self.keeper.debts()
+        if debts and any(each.name == self._entry.name for each in keepers):
+            self._tell(keepers, messages.KeeperDebts(debts))
+        usage = self.gate.usage()
+        self._skipped += 1
+        if usage == self._reported and self._skipped < IDLE_INTERVALS:
+            return
+        self._skipped, self._reported = 0, usage
+        report = messages.UsageReport(
+            self._entry.name, self._entry.incarnation, usage
+        )
+        # The coordinators get the use with the reports of streams.
+        self._tell(keepers[coordinators.COUNT :], report)
+
+    def _tell(
+        self,
+        keepers: list[forwarding.InstanceEntry],
+        message: messages.Message,
+    ) -> None:
+        for entry in keepers:
+            if entry.name != self._entry.name:
+                self._links.send(message, entry)
 
     def _notify(self) -> None:
         """Tells all instances which quotas are used up, at an interval."""
--- a/packages/seam_node/seam_node/forward/quota/keeper.py
+++ b/packages/seam_node/seam_node/forward/quota/keeper.py
@@ -23,6 +23,8 @@
 """Shortest time between two log lines on the spent quota of one workspace."""
 MIN_NOTICE_S = 0.02
 """Shortest time until a bucket is above zero for which a notice is sent."""
+MAX_DEBT_ROWS = 256
+"""Debts in a message, so that it fits into a datagram."""
 REPORT_GAP_S = 4.5
 """Time without a report after which a keeper counts as uninformed. Instances
 without requests report every 4 s."""
@@ -137,6 +139,30 @@
                 rows.append(messages.SpentRow(name, wait_s))
         return tuple(rows)
 
+    def debts(self) -> tuple[messages.DebtRow, ...]:
+        """Returns the largest debts of workspaces."""
+        now = self._now()
+        self._refresh(now)
+        rows = [
+            messages.DebtRow(name, -level)
+            for name, level in self.accounts.levels(now).items()
+            if -level > MIN_NOTICE_S * self.accounts.rate(name)
+        ]
+        rows.sort(key=lambda row: row.units, reverse=True)
+        return tuple(rows[:MAX_DEBT_ROWS])
+
+    def on_debts(self, rows: tuple[messages.DebtRow, ...]) -> None:
+        """Takes over debts of which another keeper knows."""
+        now = self._now()
+        self._refresh(now)
+        for row in rows:
+            self.accounts.adopt_debt(row.workspace, row.units, now)
+
+    @property
+    def has_quotas(self) -> bool:
+        """Whether any workspace has a quota."""
+        return bool(self._names)
+
     def log_spent(self, rows: tuple[messages.SpentRow, ...]) -> None:
         """Logs the quotas that are used up, each at an interval."""
         for row in rows:
--- a/packages/seam_policy/seam_policy/quota.py
+++ b/packages/seam_policy/seam_policy/quota.py
@@ -9,8 +9,9 @@
 holder's refund is under way.
 
 A keeper that was not informed starts with empty buckets, so that it and its
-predecessor together stay within the quota. This handles floods of one
-workspace across all instances, also while keepers are lost or partitioned.
+predecessor together stay within the quota, and takes over the debts of which
+others know. This handles floods of one workspace across all instances, also
+while keepers are lost or partitioned.
 """
 
 from collections.abc import Mapping
@@ -182,6 +183,23 @@
                 self._charge_excess(record, workspace, total, now)
         record.complete = True
 
+    def adopt_debt(self, workspace: str, units: float, now: float) -> None:
+        """Lowers a bucket to a debt of which another keeper knows.
+
+        A keeper that was informed for a whole window knows better itself.
+
+        Args:
+            workspace: name of the workspace.
+            units: units by which the other keeper's bucket is below zero.
+            now: current time.
+        """
+        bucket = self._buckets.find(workspace)
+        if bucket is None or now - self._started_at >= self._window_s:
+            return
+        excess = bucket.level(now) + min(units, bucket.limit.max_debt)
+        if excess > 0:
+            bucket.charge(excess, now)
+
     def wait_s(self, workspace: str, now: float) -> float:
         """Returns the seconds until a bucket is above zero; 0 if it is."""
         bucket = self._buckets.find(workspace)
--- a/tests/seam_node/forward/fleet/test_message_codec.py
+++ b/tests/seam_node/forward/fleet/test_message_codec.py
@@ -54,6 +54,8 @@
     ),
     messages.StreamEnded("two", 7, 3, "e/1", messages.Outcome.SERVED),
     messages.QuotaNotice((messages.SpentRow("w", 0.25),)),
+    messages.UsageReport("two", 7, (messages.UsageRow("w", 9000, 200),)),
+    messages.KeeperDebts((messages.DebtRow("w", 5000.5),)),
     service_messages.ServiceAsk(
         "two",
         7,
--- a/tests/seam_node/forward/quota/test_fleet_quotas.py
+++ b/tests/seam_node/forward/quota/test_fleet_quotas.py
@@ -128,6 +128,41 @@
     placement_world.run(scenario, names=NAMES, decode=6)
 
 
+def debt_at(instance, now):
+    return -instance.fleet.quotas.keeper.accounts.levels(now)["slow"]
+
+
+def test_a_debt_outlives_both_coordinators_and_their_return():
+    """Guards against a quota that is granted again with each lost keeper."""
+
+    async def scenario(world):
+        slow = workspace("slow", rate=2000.0, burst=40_000.0)
+        configure(world, slow)
+        await asyncio.sleep(10.0)
+        for each in world.instances.values():
+            each.fleet.quotas.gate.count(slow, 30_000)
+        await asyncio.sleep(1.0)
+        debt = debt_at(world.placer, world.now())
+        assert debt > 10 * slow.quota.rate
+        counted_at = world.now()
+
+        def left():
+            return debt - slow.quota.rate * (world.now() - counted_at) - 1
+
+        lost = [each.entry.name for each in world.placer.order.ordered()[:2]]
+        for name in lost:
+            await world.instances.pop(name).fleet.close()
+        await asyncio.sleep(0.7)
+        assert debt_at(world.placer, world.now()) >= left()
+        await world.restart(*lost)
+        configure(world, slow)
+        assert world.placer.name in lost
+        await asyncio.sleep(0.7)
+        assert debt_at(world.placer, world.now()) >= left()
+
+    placement_world.run(scenario, names=NAMES, decode=6)
+
+
 async def stop_in_turn(world, pause_s):
     for name in tuple(world.instances):
         await asyncio.sleep(pause_s)
--- a/tests/seam_policy/test_quota.py
+++ b/tests/seam_policy/test_quota.py
@@ -181,6 +181,32 @@
     assert level(second, 10.1) == pytest.approx(level(first, 10.1), abs=20)
 
 
+def test_a_new_keeper_takes_over_a_debt():
+    """Guards against a successor that grants before a debt has been paid."""
+    accounts = make_accounts(now=50.0)
+    report(accounts, 50.5, 9000)
+    accounts.adopt_debt("w", 300.0, 50.5)
+    assert level(accounts, 50.5) == -300
+    # It is repeated, and paid meanwhile.
+    accounts.adopt_debt("w", 250.0, 51.0)
+    assert level(accounts, 51.0) == -250
+
+
+def test_a_debt_that_is_told_is_bounded():
+    """Guards against a message that closes a workspace for long."""
+    accounts = make_accounts(now=50.0)
+    accounts.adopt_debt("w", 1e9, 50.0)
+    assert level(accounts, 50.0) == -LIMIT.max_debt
+    accounts.adopt_debt("other", 1.0, 50.0)
+
+
+def test_an_informed_keeper_takes_over_no_debt():
+    """Guards against debts of a keeper that knows less."""
+    accounts = informed()
+    accounts.adopt_debt("w", 300.0, 10.0)
+    assert level(accounts, 10.0) == 200
+
+
 def test_a_silent_holder_that_returns_is_not_given_back_anything():
     """Guards against a refund of totals that were forgotten."""
     accounts = informed()
@@ -237,6 +263,8 @@
 
 OVERAGE, SLACK = 0.1, 120_000.0
 TICK_S = 0.025
+KEEPERS = 3
+"""Instances that get all reports and tell each other their debts."""
 CUT_S = 3.75
 """Time after which an instance without the store accepts no key."""
 DETECT_S = 0.9
@@ -337,13 +365,21 @@
             if each.back_at > self.now:
                 continue
             group = self.reachable(each)
-            for to in group[:2]:
+            for to in group[:KEEPERS]:
                 if to is not each and self.rng.random() < 0.8:
                     self.send_report(each, to)
+            if each in group[:KEEPERS]:
+                self.tell_debt(each, group[:KEEPERS])
             wait_s = group[0].accounts.wait_s("w", self.now)
             if wait_s > 0 and self.rng.random() < 0.8:
                 each.closed_until = self.now + wait_s
 
+    def tell_debt(self, sender, keepers):
+        debt = -sender.accounts.levels(self.now)["w"]
+        for to in keepers:
+            if debt > 0 and to is not sender and self.rng.random() < 0.8:
+                to.accounts.adopt_debt("w", debt, self.now)
+
     def send_report(self, sender, to):
         to.accounts.report(
             sender.number, sender.incarnation, {"w": sender.total()}, self.now
--- a/tests/standins/service_world.py
+++ b/tests/standins/service_world.py
@@ -118,6 +118,7 @@
             fleet_links.FleetLinks(
                 name,
                 self.order.responsive,
+                self.order.first,
                 lambda: [each.entry for each in self._live()],
                 self.send,
             )
