Play stops of all instances and large unreadable entries in the soak

The soak had no play in which all instances are stopped together beside callers that keep connections and use them seldom, none with an entry of 1 MB that can't be read, and no flood of a quota while all stop.

The floods of quotas stop all instances, too.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,9 @@
 
 REQUEST_S = 8.0
 """Time after which a caller gives a request up."""
+DEADLINE_MS = 5000
+PAUSE_S = 0.1
+"""Longest time between two requests of a caller."""
 KINDS = ("read", "write", "write", "draft", "draft", "long")
 
 _ids = itertools.count(1)
@@ -54,9 +57,12 @@
         self._conn = None
         self._member = None
         self._kind = None
+        self.kinds = KINDS
         self.outcomes = []
         self.stopping = False
         self.keeps_connections = True
+        self.pause_s = PAUSE_S
+        self.deadline_ms = DEADLINE_MS
         self.wanted = ()
         """Instances and kinds of request, of which some is sent next."""
 
@@ -66,7 +72,7 @@
                 await self._request()
                 if not self.keeps_connections:
                     self._drop()
-                await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+                await asyncio.sleep(self._rng.uniform(0.0, self.pause_s))
         finally:
             self._drop()
 
@@ -100,7 +106,7 @@
         if not await self._connect():
             await asyncio.sleep(0.1)
             return
-        kind = self._kind or self._rng.choice(KINDS)
+        kind = self._kind or self._rng.choice(self.kinds)
         is_model = kind in ("draft", "long")
         deadly = is_model and self._rng.random() < self._deadly_share
         outcome = Outcome(
@@ -122,7 +128,10 @@
             headers |= self._identify(outcome, is_model)
         try:
             self._conn.send(
-                f"/{kind}/x", request_id=outcome.request_id, **headers
+                f"/{kind}/x",
+                request_id=outcome.request_id,
+                deadline_ms=self.deadline_ms,
+                **headers,
             )
             async with asyncio.timeout(REQUEST_S):
                 await self._read(outcome)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,10 +1,21 @@
 """Faults of the soak, drawn from a seed; they come in series and overlap."""
 
 import asyncio
+import itertools
 import signal
 
 DOWN_S = 0.4
 STOPPED_S = 1.5
+STOP_GAPS_S = (0.0, 0.3, 1.0)
+LARGE_BYTES = 1_000_000
+LARGE_TEXTS = {
+    "half of a character": b'"' + b"x" * LARGE_BYTES + b'\\ud83d"',
+    "no UTF-8": b'"' + b"\xff" * LARGE_BYTES + b'"',
+    "escapes": b'"' + b"\\n" * (LARGE_BYTES // 2) + b'\\ud83d"',
+    "lists": b"[" + b"[]," * (LARGE_BYTES // 3) + b"NaN]",
+    "deep": b"[" * (LARGE_BYTES // 2) + b"]" * (LARGE_BYTES // 2),
+}
+"""Specs that no decoder takes, by what is wrong with them."""
 UNPROVED_S = (6.0, 8.0)
 """Time in which the proof of a configuration gets too old."""
 LEASE_LOST_S = (13.0, 16.0)
@@ -17,6 +28,7 @@
 SIGN_S = 4.0
 LIMIT = 2.0
 LIMITED_S = 5.0
+_numbers = itertools.count(1)
 
 
 async def restart(fleet, rng, counts):
@@ -25,6 +37,31 @@
     counts["planned stop"] += 1
 
 
+async def stop_all(fleet, rng, counts):
+    """Stops all instances as planned, together or shortly one after another."""
+    gap_s = rng.choice(STOP_GAPS_S)
+    stops = []
+    for member in rng.sample(fleet.members, len(fleet.members)):
+        stops.append(
+            asyncio.ensure_future(fleet.restart(member, signal.SIGTERM))
+        )
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*stops)
+    counts[f"all stopped, {gap_s} s apart"] += 1
+
+
+async def large_entry(fleet, rng, counts):
+    """Has another writer's entry come that is large and can't be read."""
+    del rng
+    number = next(_numbers)
+    name = f"other-writer-{number}"
+    what, text = sorted(LARGE_TEXTS.items())[number % len(LARGE_TEXTS)]
+    fleet.store.put_raw("servers", name, text)
+    await asyncio.sleep(AWAY_S)
+    fleet.store.remove("servers", name)
+    counts[f"large entry: {what}"] += 1
+
+
 async def kill(fleet, rng, counts):
     """Kills an instance and starts it again."""
     await fleet.restart(rng.choice(fleet.members), signal.SIGKILL)
@@ -170,5 +207,7 @@
     cut_off,
     freeze_past_proof,
 )
-QUOTAS = (restart, restart, freeze, freeze, kill, pause)
+QUOTAS = (restart, restart, freeze, freeze, kill, pause, stop_all)
+STOPS_OF_ALL = (stop_all,)
+LARGE_ENTRIES = (large_entry, large_entry, restart, kill, store_forgets)
 ALL = (restart, kill, freeze, store_away, store_forgets, moody, moody, replace)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,14 +45,16 @@
 class Soak:
     """One play: callers, faults and what became of the requests."""
 
-    def __init__(self, folder, seed, deadly_share=0.0, root=ROOT):
+    def __init__(
+        self, folder, seed, deadly_share=0.0, root=ROOT, caller_count=CALLERS
+    ):
         self.rng = random.Random(seed)
         self.call_faults = call_faults.CallFaults(random.Random(seed))
         self.fleet = soak_fleet.Fleet(folder, root, self.call_faults)
         self.counts = collections.Counter()
         self._callers = [
             callers.SoakCaller(self.fleet, self.rng, deadly_share)
-            for _ in range(CALLERS)
+            for _ in range(caller_count)
         ]
 
     @property
