--- a/review/common3/platform_standin.py
+++ b/review/common3/platform_standin.py
@@ -138,6 +138,9 @@
         self._waiters: set[asyncio.Event] = set()
         self._beats: dict[str, float] = {}
         self.heartbeat_s = 1.2
+        self.unreadable: dict[str, bytes] = {}
+        """Bytes of entries that another writer left, by the text that stands
+        for them in `spec`. They are sent as they lie there."""
         self.late: list = []
         """Functions of a request that return after how many seconds it is
         done, without an answer; None to do and answer it at once."""
@@ -186,6 +189,21 @@
         self._change(kind, False, item)
         return item
 
+    def put_unreadable(self, kind: str, name: str, text: bytes) -> None:
+        """Creates an object whose bytes can't be read."""
+        mark = f"unreadable-{len(self.unreadable)}"
+        self.unreadable[mark] = text
+        self.put(kind, name, {"mark": mark})
+        self._beats.pop(name, None)
+
+    def _with_unreadable(self, answer: bytes) -> bytes:
+        """Puts in the bytes of unreadable objects and states the length."""
+        head, _, body = answer.partition(b"\r\n\r\n")
+        for mark, text in self.unreadable.items():
+            body = body.replace(json.dumps({"mark": mark}).encode(), text)
+        first = head.split(b"\r\n")[0].decode()
+        return message(first, {"Content-Type": "application/json"}, body)
+
     def remove(self, kind: str, name: str) -> None:
         item = self.objects[kind].pop(name, None)
         self._beats.pop(name, None)
@@ -240,7 +258,8 @@
                     # Nothing further comes on this connection.
                     await reader.read()
                     return
-                writer.write(await self._answer(request))
+                answer = await self._answer(request)
+                writer.write(self._with_unreadable(answer))
                 await writer.drain()
         except (
             ConnectionError,
--- a/review/common3/servers.py
+++ b/review/common3/servers.py
@@ -67,7 +67,7 @@
     def __init__(self, service_name, zone, store_port, record, slots=6):
         number = next(_NUMBERS)
         self.id = f"i-{number:04x}{random.randrange(2**24):06x}"
-        self.host = f"127.0.1.{number}"
+        self.host = f"127.0.{1 + number // 250}.{1 + number % 250}"
         self.service, self.zone, self.slots = service_name, zone, slots
         self.state = "ready"
         self.work_s = 0.0225
@@ -264,3 +264,153 @@
         if self._streams is not None:
             self._streams[1].close()
             self._streams = None
+
+
+class Engine(Worker):
+    """A model worker; it streams, and takes holds, prefills and orders."""
+
+    def __init__(self, service_name, zone, store_port, record, stage, slots=24):
+        super().__init__(service_name, zone, store_port, record, slots)
+        self.stage = stage
+        self.event_s = 0.01
+        self.events = 10
+        self.kv_tokens = 71_867
+        self._handles: dict[str, int] = {}
+        self._holds: set[str] = set()
+        self.running = 0
+        self.accepted_orders = 0
+
+    def spec(self) -> dict:
+        models = [{"name": "m", "version": 1, "adapters": []}]
+        return {**super().spec(), "stage": self.stage, "models": models}
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None:
+                    return
+                await self._reply(request, writer)
+                await writer.drain()
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _reply(self, request, writer) -> None:
+        headers = request.headers
+        request_id = headers.get("request-id", "")
+        if headers.get("expect-instance", self.id) != self.id:
+            writer.write(
+                message(
+                    "HTTP/1.1 421 Misdirected Request",
+                    {"Instance-Id": self.id, "Request-Id": request_id},
+                )
+            )
+        elif request.path.startswith("/sycamoreseam/"):
+            writer.write(self._internal(request))
+        elif headers.get("serving-stage") == "prefill":
+            await self._prefill(request_id, headers, writer)
+        else:
+            await self._stream(request_id, headers, writer)
+
+    def _internal(self, request) -> bytes:
+        name = request.path.split("/")[2]
+        if name == "hold-take":
+            hold = f"{random.randrange(2**48):012x}"
+            self._holds.add(hold)
+            return _json({"hold": hold})
+        if name == "report":
+            return _json(
+                {
+                    "stage": self.stage,
+                    "models": [{"name": "m", "version": 1, "adapters": []}],
+                    "busy": False,
+                    "sequence": self.accepted_orders,
+                    "queued": 0,
+                    "running": self.running,
+                    "kv_used": 0,
+                    "kv_total": self.kv_tokens,
+                    "kv_handles": len(self._handles),
+                }
+            )
+        if name == "order":
+            self.accepted_orders += 1
+            order = json.loads(request.body)
+            self._record("order", worker=self.id, order=order)
+            self.stage = order["stage"]
+            return message("HTTP/1.1 202 Accepted", {})
+        return message("HTTP/1.1 200 OK", {})
+
+    async def _prefill(self, request_id, headers, writer) -> None:
+        self._record("prefill", worker=self.id, request=request_id)
+        tokens = int(headers["token-count"].split(",")[0])
+        await asyncio.sleep(tokens / 55_000)
+        handle = f"{random.randrange(2**48):012x}"
+        self._handles[handle] = tokens
+        body = {"kv_handle": handle, "tokens": tokens, "version": 1}
+        writer.write(_json(body, {"Request-Id": request_id}))
+
+    async def _stream(self, request_id, headers, writer) -> None:
+        self.arrivals.append((now(), request_id))
+        self.ran.append(request_id)
+        self._record("run", worker=self.id, request=request_id)
+        self.running += 1
+        try:
+            writer.write(
+                (
+                    "HTTP/1.1 200 OK\r\n"
+                    f"Request-Id: {request_id}\r\n"
+                    f"Server-Seal: seal.{self.id}.{request_id}\r\n"
+                    "Content-Type: text/event-stream\r\n"
+                    "Weight-Versions: 1\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                ).encode()
+            )
+            first = int(headers.get("last-event-id", "0")) + 1
+            for number in range(first, self.events + 1):
+                await asyncio.sleep(self.event_s)
+                event = f"id: {number}\ndata: {request_id}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+
+
+def _json(value, headers=()) -> bytes:
+    return message(
+        "HTTP/1.1 200 OK",
+        {"Content-Type": "application/json", **dict(headers)},
+        json.dumps(value).encode(),
+    )
+
+
+def engine_service(name, **more):
+    """Returns a service of model workers."""
+    return service(
+        name,
+        max_connections=200,
+        engine={
+            "slots": 24,
+            "kv_capacity": 71867,
+            "kv_token_bytes": 327680,
+            "link_mbps": 11000000.0,
+            "moves": True,
+            "backups": True,
+            "stride": 59,
+            "most": 12,
+            "handle_ttl_s": 0.5,
+            "role_switch_s": 6.0,
+            "pin_ms": 4000.0,
+            "hold_ms": 2000.0,
+            "models": [{"name": "m"}],
+            **more,
+        },
+    )
