--- a/review/13/run.py
+++ b/review/13/run.py
@@ -115,7 +115,7 @@
     if TROUBLE:
         # An entry that was only half written.
         text = json.dumps(workers[0].spec()).encode()
-        store.put_unreadable("servers", "i-other", text[: len(text) // 2])
+        store.put_bytes("servers", "i-other", text[: len(text) // 2])
         record("check", unreadable=text[: len(text) // 2])
     await asyncio.sleep(3.0)
     killed_at = now()
--- a/review/common3/platform_standin.py
+++ b/review/common3/platform_standin.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HISTORY_S = 20.0
 PAGE = 50
+PAGE_BYTES = 1_048_576
 CREATED_AT = time.monotonic()
 
 BOUNDS = {
@@ -138,9 +139,9 @@
         self._waiters: set[asyncio.Event] = set()
         self._beats: dict[str, float] = {}
         self.heartbeat_s = 1.2
-        self.unreadable: dict[str, bytes] = {}
-        """Bytes of entries that another writer left, by the text that stands
-        for them in `spec`. They are sent as they lie there."""
+        self._bytes: dict[str, bytes] = {}
+        """Bytes of entries of another writer, by the text that stands for them
+        in `spec`. They are sent as they lie there."""
         self.late: list = []
         """Functions of a request that return after how many seconds it is
         done, without an answer; None to do and answer it at once."""
@@ -189,17 +190,23 @@
         self._change(kind, False, item)
         return item
 
-    def put_unreadable(self, kind: str, name: str, text: bytes) -> None:
-        """Creates an object whose bytes can't be read."""
-        mark = f"unreadable-{len(self.unreadable)}"
-        self.unreadable[mark] = text
+    def put_bytes(self, kind: str, name: str, text: bytes) -> None:
+        """Creates or replaces an object, whose bytes may not be readable.
+
+        Its writer repeats it, so it does not expire.
+        """
+        found = self.objects[kind].get(name)
+        if found is not None:
+            self._bytes.pop(found["spec"]["mark"], None)
+        mark = f"mark-{self.revision}"
+        self._bytes[mark] = text
         self.put(kind, name, {"mark": mark})
         self._beats.pop(name, None)
 
-    def _with_unreadable(self, answer: bytes) -> bytes:
-        """Puts in the bytes of unreadable objects and states the length."""
+    def _with_bytes(self, answer: bytes) -> bytes:
+        """Puts in the bytes of such objects and states the length."""
         head, _, body = answer.partition(b"\r\n\r\n")
-        for mark, text in self.unreadable.items():
+        for mark, text in self._bytes.items():
             body = body.replace(json.dumps({"mark": mark}).encode(), text)
         first = head.split(b"\r\n")[0].decode()
         return message(first, {"Content-Type": "application/json"}, body)
@@ -259,7 +266,7 @@
                     await reader.read()
                     return
                 answer = await self._answer(request)
-                writer.write(self._with_unreadable(answer))
+                writer.write(self._with_bytes(answer))
                 await writer.drain()
         except (
             ConnectionError,
@@ -315,15 +322,27 @@
 
     def _list(self, kind: str, after: str) -> bytes:
         names = sorted(each for each in self.objects[kind] if each > after)
+        items, size = [], 0
+        for each in names[:PAGE]:
+            item = self.objects[kind][each]
+            size += self._size(item)
+            if items and size > PAGE_BYTES:
+                break
+            items.append(item)
         return _json(
             200,
             {
-                "items": [self.objects[kind][each] for each in names[:PAGE]],
-                "has_more": len(names) > PAGE,
+                "items": items,
+                "has_more": len(names) > len(items),
                 "store_revision": self.revision,
             },
         )
 
+    def _size(self, item: dict) -> int:
+        spec = item["spec"]
+        mark = spec.get("mark") if isinstance(spec, dict) else None
+        return len(self._bytes.get(mark, b"")) or len(json.dumps(item))
+
     async def _watch(self, kind: str, query: dict) -> bytes:
         revision, until = int(query["watch"]), now()
         until += min(30_000, int(query.get("wait_ms", "0"))) / 1000
@@ -475,6 +494,15 @@
             )
         self._record("process", name=self.name, does="start")
 
+    def private_mb(self) -> float:
+        """Returns the private memory of the process; 0 once it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self._proc.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"RssAnon:\s+(\d+) kB", status)
+        return int(found.group(1)) * 1024 / 1e6 if found else 0.0
+
     def signal(self, number: signal.Signals) -> None:
         self._record("process", name=self.name, gets=number.name)
         os.kill(self._proc.pid, number)
