--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,14 +1,15 @@
-"""Open connections to the store go silent as a worker leaves."""
+"""All instances restart while one entry of another writer can't be read."""
 
 import asyncio
+import json
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 
 from platform_standin import BOUNDS
 from platform_standin import Instance
-from platform_standin import Proxy
 from platform_standin import Record
 from platform_standin import Store
 from platform_standin import now
@@ -17,27 +18,51 @@
 FOLDER = pathlib.Path(__file__).parent
 ZONES = ("cebu-a", "cebu-b", "iloilo-a")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DRAIN_S = BOUNDS["drain_ms"] / 1000
-STABLE_S = BOUNDS["stable_window_ms"] / 1000
-SERVES_ON_S = 7.0
-"""How long a worker that leaves goes on; it may be many seconds."""
+DOWN_S = 1.0
 CLIENTS = 24
+JUDGED_S = 6.0
+"""How long after `recover_s` requests are counted."""
 
 
-async def traffic(instances, record, until):
-    async def one(number):
-        instance = instances[number % len(instances)]
-        client = servers.Client(instance.host, instance.front, record)
+class Traffic:
+    """Clients that note when they sent what and how it was answered."""
+
+    def __init__(self, instances, record):
+        self._instances, self._record = instances, record
+        self.ends: list[tuple[float, int]] = []
+        self.until = float("inf")
+
+    async def run(self) -> None:
+        await asyncio.gather(*(self._client(each) for each in range(CLIENTS)))
+
+    async def _client(self, number) -> None:
         await asyncio.sleep(number * 0.03)
-        while now() < until:
-            if number % 3:
-                await client.send("POST", "/pule252/2f", {"Deadline-Ms": "600"})
-            else:
-                await client.send("GET", "/puxa403/2f", {"Deadline-Ms": "600"})
+        client = None
+        while now() < self.until:
+            if client is None:
+                number += 1
+                instance = self._instances[number % len(self._instances)]
+                client = servers.Client(
+                    instance.host, instance.front, self._record
+                )
+            sent_at = now()
+            method, target = (
+                ("POST", "/pule252/2f") if number % 3 else ("GET", "/puxa403/2f")
+            )
+            async with asyncio.timeout(5.0):
+                _, status, _ = await client.send(
+                    method, target, {"Deadline-Ms": "600"}
+                )
+            self.ends.append((sent_at, status))
+            if status != 200:
+                client.close()
+                client = None
             await asyncio.sleep(0.6)
-        client.close()
 
-    await asyncio.gather(*(one(number) for number in range(CLIENTS)))
+    def served(self, since, until) -> tuple[int, int]:
+        """Returns how many requests of a time were served, and how many sent."""
+        found = [s for at, s in self.ends if since <= at < until]
+        return sum(s == 200 for s in found), len(found)
 
 
 async def play(folder, record) -> int:
@@ -62,15 +87,11 @@
         servers.Worker(ledger, zone, store.port, record)
         for zone in (*ZONES, "bohol-a")
     ]
-    proxies = [Proxy(store.port) for _ in ZONES]
-    for each in proxies:
-        await each.start()
     instances = [
-        Instance(number, zone, f"127.0.0.1:{proxy.port}", folder, record)
-        for number, (zone, proxy) in enumerate(
-            zip(ZONES, proxies, strict=True), 1
-        )
+        Instance(number, zone, f"127.0.0.1:{store.port}", folder, record)
+        for number, zone in enumerate(ZONES, 1)
     ]
+    traffic = Traffic(instances, record)
     try:
         for each in workers:
             await each.start()
@@ -78,82 +99,46 @@
             await each.start()
         for each in instances:
             await each.until_ready()
-        await asyncio.sleep(4.0)
-        return await leave(store, proxies, workers, instances, record)
+        await asyncio.sleep(2.0)
+        return await restart(store, workers, instances, traffic, record)
     finally:
         for each in workers:
             each.end()
         for each in instances:
             await each.end()
-        for each in proxies:
-            each.close()
         store.close()
 
 
-async def watch_begins(proxies, record) -> int:
-    """Waits until an instance that nobody follows begins to watch workers.
-
-    Its watch waits for 2 s, that of one that others follow for 0.5 s. Returns
-    the number of that instance.
-    """
-    begun = asyncio.get_running_loop().create_future()
-
-    def observer(number):
-        def on_data(data):
-            is_watch = b"/servers?watch=" in data and b"wait_ms=2000" in data
-            if is_watch and not begun.done():
-                begun.set_result(number)
-
-        return on_data
-
-    for number, each in enumerate(proxies):
-        each.on_data = observer(number)
-    async with asyncio.timeout(6.0):
-        found = await begun
-    record("check", instance_that_nobody_follows=found + 1)
-    await asyncio.sleep(0.1)
-    return found
-
-
-async def leave(store, proxies, workers, instances, record) -> int:
-    flow = asyncio.ensure_future(traffic(instances, record, now() + 12.0))
-    await asyncio.sleep(2.0)
-    # The worker that leaves is the one in the zone of that instance.
-    leaver = workers[await watch_begins(proxies, record)]
-    silent_at = now()
+async def restart(store, workers, instances, traffic, record) -> int:
+    flow = asyncio.ensure_future(traffic.run())
+    await asyncio.sleep(3.0)
     if TROUBLE:
-        count = sum(each.silence() for each in proxies)
-        record("check", connections_to_the_store_silent=count)
-    await asyncio.sleep(0.1)
-    # It leaves without a report: its entry is removed, and it serves on.
-    leaver.stop_beats()
-    store.remove("servers", leaver.id)
-    removed_at = now()
-    record("check", entry_removed=f"{removed_at:.3f}")
-    await asyncio.sleep(SERVES_ON_S)
-    leaver.end()
+        # An entry that was only half written.
+        text = json.dumps(workers[0].spec()).encode()
+        store.put_bytes("servers", "i-other", text[: len(text) // 2])
+        record("check", unreadable=text[: len(text) // 2])
+    await asyncio.sleep(3.0)
+    killed_at = now()
+    before = traffic.served(0.0, killed_at)
+    for each in instances:
+        each.signal(signal.SIGKILL)
+    await asyncio.sleep(DOWN_S)
+    for each in instances:
+        await each.end()
+        await each.start()
+    back_at = now()
+    since = back_at + BOUNDS["recover_s"]
+    traffic.until = since + JUDGED_S
     await flow
-    # All machines are in touch again `stable_window_ms` after the silence.
-    from_s = max(removed_at + DRAIN_S, silent_at + STABLE_S)
-    late = [(at, each) for at, each in leaver.arrivals if at > from_s]
-    for at, request in late:
-        record(
-            "broken",
-            request=request,
-            reached=leaver.id,
-            after_acknowledgement_s=f"{at - removed_at:.3f}",
-        )
-    elsewhere = sum(len(each.ran) for each in workers[1:])
-    record(
-        "check",
-        ran_elsewhere=elsewhere,
-        ran_at_leaver=len(leaver.ran),
-        reached_too_late=len(late),
-        last=f"{max(at for at, _ in leaver.arrivals) - removed_at:.3f}",
-    )
-    if elsewhere < 100:
+    after = traffic.served(since, since + JUDGED_S)
+    ready = [await each.is_ready() for each in instances]
+    record("check", served_before=before, served_after=after, ready=ready)
+    if before[0] * 4 < before[1] or after[1] < 30:
         return 2
-    return 1 if late else 0
+    is_broken = after[0] * 4 < after[1]
+    if is_broken:
+        record("broken", served=after[0], of=after[1])
+    return 1 if is_broken else 0
 
 
 def main() -> int:
--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,13 +1,14 @@
-"""Entries of another writer, of another type, come several at a time."""
+"""Open connections to the store go silent as a worker leaves."""
 
 import asyncio
 import os
 import pathlib
-import signal
 import sys
 import tempfile
 
+from platform_standin import BOUNDS
 from platform_standin import Instance
+from platform_standin import Proxy
 from platform_standin import Record
 from platform_standin import Store
 from platform_standin import now
@@ -16,89 +17,29 @@
 FOLDER = pathlib.Path(__file__).parent
 ZONES = ("cebu-a", "cebu-b", "iloilo-a")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMORY_MB = 150
-VALUE_BYTES = 1_048_576
-ENTRIES = 4
-ROUNDS = 6
-ROUND_S = 4.0
-WRITE_GAP_S = 0.02
-"""Pause between two writes of the other writer."""
-RESTART_S = 0.5
-SAMPLE_S = 0.004
-CLIENTS = 18
-ENDS_COUNTED = 3
-MACHINES_COUNTED = 2
-
-
-class Platform:
-    """Kills a process over its memory and starts it again."""
-
-    def __init__(self, instances, record):
-        self._instances, self._record = instances, record
-        self.ends = {each.name: 0 for each in instances}
-        self.peaks = {each.name: 0.0 for each in instances}
-
-    async def run(self) -> None:
-        await asyncio.gather(*(self._watch(each) for each in self._instances))
-
-    async def _watch(self, instance) -> None:
-        while True:
-            await asyncio.sleep(SAMPLE_S)
-            used_mb = instance.private_mb()
-            peak = max(self.peaks[instance.name], used_mb)
-            self.peaks[instance.name] = peak
-            if used_mb <= MEMORY_MB and instance.status is None:
-                continue
-            self.ends[instance.name] += 1
-            self._record(
-                "over-memory", name=instance.name, used_mb=f"{used_mb:.1f}"
-            )
-            if instance.status is None:
-                instance.signal(signal.SIGKILL)
-            await instance.end()
-            await asyncio.sleep(RESTART_S)
-            await instance.start()
-            await instance.until_ready()
-
-
-async def traffic(instances, record, statuses, until):
+DRAIN_S = BOUNDS["drain_ms"] / 1000
+STABLE_S = BOUNDS["stable_window_ms"] / 1000
+SERVES_ON_S = 7.0
+"""How long a worker that leaves goes on; it may be many seconds."""
+CLIENTS = 24
+
+
+async def traffic(instances, record, until):
     async def one(number):
-        client = None
+        instance = instances[number % len(instances)]
+        client = servers.Client(instance.host, instance.front, record)
+        await asyncio.sleep(number * 0.03)
         while now() < until:
-            if client is None:
-                number += 1
-                instance = instances[number % len(instances)]
-                client = servers.Client(instance.host, instance.front, record)
-            try:
-                async with asyncio.timeout(2.0):
-                    _, status, _ = await client.send(
-                        "POST", "/pule252/2f", {"Deadline-Ms": "600"}
-                    )
-            except TimeoutError:
-                status = 0
-            statuses[status] = statuses.get(status, 0) + 1
-            if status != 200:
-                client.close()
-                client = None
+            if number % 3:
+                await client.send("POST", "/pule252/2f", {"Deadline-Ms": "600"})
+            else:
+                await client.send("GET", "/puxa403/2f", {"Deadline-Ms": "600"})
             await asyncio.sleep(0.6)
+        client.close()
 
     await asyncio.gather(*(one(number) for number in range(CLIENTS)))
 
 
-def entry(size: int, turn: int) -> bytes:
-    """Returns a worker's entry whose `models` is of another type.
-
-    It is valid JSON: a list of lists.
-    """
-    head = (
-        b'{"service":"wuno96b","address":"127.0.9.9:80","zone":"cebu-a",'
-        b'"version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,'
-        b'"sequence":%d,"models":"none","more":[' % turn
-    )
-    count = max(1, (size - len(head) - 2) // 5)
-    return head + b",".join([b"[[]]"] * count) + b"]}"
-
-
 async def play(folder, record) -> int:
     store = Store(record)
     await store.start()
@@ -112,6 +53,7 @@
                 servers.route(
                     "r-1", "/pule252/", ledger, "non_idempotent", 600, 1
                 ),
+                servers.route("r-2", "/puxa403/", ledger, "idempotent", 600, 2),
             ],
             [servers.service(ledger)],
         ),
@@ -120,12 +62,15 @@
         servers.Worker(ledger, zone, store.port, record)
         for zone in (*ZONES, "bohol-a")
     ]
+    proxies = [Proxy(store.port) for _ in ZONES]
+    for each in proxies:
+        await each.start()
     instances = [
-        Instance(number, zone, f"127.0.0.1:{store.port}", folder, record)
-        for number, zone in enumerate(ZONES, 1)
+        Instance(number, zone, f"127.0.0.1:{proxy.port}", folder, record)
+        for number, (zone, proxy) in enumerate(
+            zip(ZONES, proxies, strict=True), 1
+        )
     ]
-    platform = Platform(instances, record)
-    tasks = []
     try:
         for each in workers:
             await each.start()
@@ -133,46 +78,84 @@
             await each.start()
         for each in instances:
             await each.until_ready()
-        await asyncio.sleep(3.0)
-        tasks.append(asyncio.ensure_future(platform.run()))
-        statuses: dict[int, int] = {}
-        until = now() + ROUNDS * ROUND_S + 2.0
-        tasks.append(
-            asyncio.ensure_future(
-                traffic(instances, record, statuses, until)
-            )
-        )
-        await asyncio.sleep(2.0)
-        size = VALUE_BYTES - 2000 if TROUBLE else 300
-        for turn in range(ROUNDS):
-            for number in range(ENTRIES):
-                store.put_bytes(
-                    "servers", f"i-other-{number}", entry(size, turn)
-                )
-                await asyncio.sleep(WRITE_GAP_S)
-            record("check", turn=turn, bytes=len(entry(size, turn)))
-            await asyncio.sleep(ROUND_S)
-        ends = sorted(platform.ends.values(), reverse=True)
-        record("check", ends=platform.ends, answers=statuses)
-        record(
-            "check",
-            peaks_mb={k: round(v, 1) for k, v in platform.peaks.items()},
-        )
-        if not statuses.get(200):
-            return 2
-        machines = sum(each >= ENDS_COUNTED for each in ends)
-        return 1 if machines >= MACHINES_COUNTED else 0
+        await asyncio.sleep(4.0)
+        return await leave(store, proxies, workers, instances, record)
     finally:
-        for each in tasks:
-            each.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         for each in workers:
             each.end()
         for each in instances:
             await each.end()
+        for each in proxies:
+            each.close()
         store.close()
 
 
+async def watch_begins(proxies, record) -> int:
+    """Waits until an instance that nobody follows begins to watch workers.
+
+    Its watch waits for 2 s, that of one that others follow for 0.5 s. Returns
+    the number of that instance.
+    """
+    begun = asyncio.get_running_loop().create_future()
+
+    def observer(number):
+        def on_data(data):
+            is_watch = b"/servers?watch=" in data and b"wait_ms=2000" in data
+            if is_watch and not begun.done():
+                begun.set_result(number)
+
+        return on_data
+
+    for number, each in enumerate(proxies):
+        each.on_data = observer(number)
+    async with asyncio.timeout(6.0):
+        found = await begun
+    record("check", instance_that_nobody_follows=found + 1)
+    await asyncio.sleep(0.1)
+    return found
+
+
+async def leave(store, proxies, workers, instances, record) -> int:
+    flow = asyncio.ensure_future(traffic(instances, record, now() + 12.0))
+    await asyncio.sleep(2.0)
+    # The worker that leaves is the one in the zone of that instance.
+    leaver = workers[await watch_begins(proxies, record)]
+    silent_at = now()
+    if TROUBLE:
+        count = sum(each.silence() for each in proxies)
+        record("check", connections_to_the_store_silent=count)
+    await asyncio.sleep(0.1)
+    # It leaves without a report: its entry is removed, and it serves on.
+    leaver.stop_beats()
+    store.remove("servers", leaver.id)
+    removed_at = now()
+    record("check", entry_removed=f"{removed_at:.3f}")
+    await asyncio.sleep(SERVES_ON_S)
+    leaver.end()
+    await flow
+    # All machines are in touch again `stable_window_ms` after the silence.
+    from_s = max(removed_at + DRAIN_S, silent_at + STABLE_S)
+    late = [(at, each) for at, each in leaver.arrivals if at > from_s]
+    for at, request in late:
+        record(
+            "broken",
+            request=request,
+            reached=leaver.id,
+            after_acknowledgement_s=f"{at - removed_at:.3f}",
+        )
+    elsewhere = sum(len(each.ran) for each in workers[1:])
+    record(
+        "check",
+        ran_elsewhere=elsewhere,
+        ran_at_leaver=len(leaver.ran),
+        reached_too_late=len(late),
+        last=f"{max(at for at, _ in leaver.arrivals) - removed_at:.3f}",
+    )
+    if elsewhere < 100:
+        return 2
+    return 1 if late else 0
+
+
 def main() -> int:
     record = Record(FOLDER / "record.txt")
     try:
