--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,14 +1,11 @@
-"""All instances restart while one entry of another writer can't be read."""
+"""Deeply nested entries of another writer hold every instance up."""
 
 import asyncio
-import json
 import os
 import pathlib
-import signal
 import sys
 import tempfile
 
-from platform_standin import BOUNDS
 from platform_standin import Instance
 from platform_standin import Record
 from platform_standin import Store
@@ -18,51 +15,66 @@
 FOLDER = pathlib.Path(__file__).parent
 ZONES = ("cebu-a", "cebu-b", "iloilo-a")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DOWN_S = 1.0
-CLIENTS = 24
-JUDGED_S = 6.0
-"""How long after `recover_s` requests are counted."""
+VALUE_BYTES = 1_048_576
+ENTRIES = int(os.environ.get("ENTRIES", "4"))
+WRITE_GAP_S = 0.02
+TIMEOUT_S = 0.6
+"""The route's timeout."""
+HALF_S = 0.5
+JUDGED_S = 30.0
+CLIENTS = 36
+LEAST = 8
+SHARE = 0.25
 
 
 class Traffic:
-    """Clients that note when they sent what and how it was answered."""
+    """Clients that note how long each request had no final answer."""
 
     def __init__(self, instances, record):
         self._instances, self._record = instances, record
-        self.ends: list[tuple[float, int]] = []
+        self.ends: list[tuple[float, float, int]] = []
+        """When it was sent, how long it took, its status."""
         self.until = float("inf")
 
     async def run(self) -> None:
         await asyncio.gather(*(self._client(each) for each in range(CLIENTS)))
 
     async def _client(self, number) -> None:
+        instance = self._instances[number % len(self._instances)]
+        client = servers.Client(instance.host, instance.front, self._record)
         await asyncio.sleep(number * 0.03)
-        client = None
         while now() < self.until:
-            if client is None:
-                number += 1
-                instance = self._instances[number % len(self._instances)]
-                client = servers.Client(
-                    instance.host, instance.front, self._record
-                )
-            sent_at = now()
-            method, target = (
-                ("POST", "/pule252/2f") if number % 3 else ("GET", "/puxa403/2f")
-            )
-            async with asyncio.timeout(5.0):
-                _, status, _ = await client.send(
-                    method, target, {"Deadline-Ms": "600"}
-                )
-            self.ends.append((sent_at, status))
-            if status != 200:
+            sent_at, status = now(), 0
+            try:
+                async with asyncio.timeout(10.0):
+                    _, status, _ = await client.send(
+                        "POST", "/pule252/2f", {"Deadline-Ms": "600"}
+                    )
+            except TimeoutError:
                 client.close()
-                client = None
-            await asyncio.sleep(0.6)
-
-    def served(self, since, until) -> tuple[int, int]:
-        """Returns how many requests of a time were served, and how many sent."""
-        found = [s for at, s in self.ends if since <= at < until]
-        return sum(s == 200 for s in found), len(found)
+            self.ends.append((sent_at, now() - sent_at, status))
+            await asyncio.sleep(0.4)
+
+    def counts(self, since, until) -> dict[str, int]:
+        """Counts the requests that were sent in some time."""
+        found = [(took, s) for at, took, s in self.ends if since <= at < until]
+        return {
+            "sent": len(found),
+            "served": sum(s == 200 for _, s in found),
+            "unanswered_at_timeout": sum(t > TIMEOUT_S for t, _ in found),
+            "unanswered_later": sum(t > TIMEOUT_S + HALF_S for t, _ in found),
+        }
+
+
+def entry(size: int) -> bytes:
+    """Returns a worker's entry with lists inside one another; valid JSON."""
+    head = (
+        b'{"service":"wuno96b","address":"127.0.9.9:80","zone":"cebu-a",'
+        b'"version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,'
+        b'"sequence":1,"models":'
+    )
+    count = max(1, (size - len(head) - 2) // 5)
+    return head + b"[[]," * count + b"0" + b"]" * count + b"}"
 
 
 async def play(folder, record) -> int:
@@ -78,7 +90,6 @@
                 servers.route(
                     "r-1", "/pule252/", ledger, "non_idempotent", 600, 1
                 ),
-                servers.route("r-2", "/puxa403/", ledger, "idempotent", 600, 2),
             ],
             [servers.service(ledger)],
         ),
@@ -99,8 +110,8 @@
             await each.start()
         for each in instances:
             await each.until_ready()
-        await asyncio.sleep(2.0)
-        return await restart(store, workers, instances, traffic, record)
+        await asyncio.sleep(3.0)
+        return await hold_up(store, traffic, record)
     finally:
         for each in workers:
             each.end()
@@ -109,35 +120,29 @@
         store.close()
 
 
-async def restart(store, workers, instances, traffic, record) -> int:
+async def hold_up(store, traffic, record) -> int:
     flow = asyncio.ensure_future(traffic.run())
-    await asyncio.sleep(3.0)
-    if TROUBLE:
-        # An entry that was only half written.
-        text = json.dumps(workers[0].spec()).encode()
-        store.put_bytes("servers", "i-other", text[: len(text) // 2])
-        record("check", unreadable=text[: len(text) // 2])
-    await asyncio.sleep(3.0)
-    killed_at = now()
-    before = traffic.served(0.0, killed_at)
-    for each in instances:
-        each.signal(signal.SIGKILL)
-    await asyncio.sleep(DOWN_S)
-    for each in instances:
-        await each.end()
-        await each.start()
-    back_at = now()
-    since = back_at + BOUNDS["recover_s"]
-    traffic.until = since + JUDGED_S
+    await asyncio.sleep(5.0)
+    written_at = now()
+    for number in range(ENTRIES):
+        text = entry(VALUE_BYTES - 2000 if TROUBLE else 300)
+        store.put_bytes("servers", f"i-other-{number}", text)
+        await asyncio.sleep(WRITE_GAP_S)
+    record("check", entries=ENTRIES, bytes=len(text))
+    traffic.until = written_at + JUDGED_S
     await flow
-    after = traffic.served(since, since + JUDGED_S)
-    ready = [await each.is_ready() for each in instances]
-    record("check", served_before=before, served_after=after, ready=ready)
-    if before[0] * 4 < before[1] or after[1] < 30:
+    record("check", before=traffic.counts(0.0, written_at))
+    for second in range(0, int(JUDGED_S), 5):
+        at = written_at + second
+        record("check", after_s=second, counts=traffic.counts(at, at + 5))
+    counts = traffic.counts(written_at, written_at + JUDGED_S)
+    record("check", after=counts)
+    if not counts["served"]:
         return 2
-    is_broken = after[0] * 4 < after[1]
+    late, later = counts["unanswered_at_timeout"], counts["unanswered_later"]
+    is_broken = later >= LEAST and later > SHARE * late
     if is_broken:
-        record("broken", served=after[0], of=after[1])
+        record("broken", no_final_answer=later, of=late)
     return 1 if is_broken else 0
 
 
--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,8 +1,10 @@
-"""A worker's old announcement reaches the store after its newer ones."""
+"""All instances restart while one entry of another writer can't be read."""
 
 import asyncio
+import json
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -16,30 +18,51 @@
 FOLDER = pathlib.Path(__file__).parent
 ZONES = ("cebu-a", "cebu-b", "iloilo-a")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DRAIN_S = BOUNDS["drain_ms"] / 1000
-STABLE_S = BOUNDS["stable_window_ms"] / 1000
-LATE_S = 5.8
-"""How long after it was sent the old announcement is done (at most 6 s)."""
-DRAINS_AFTER_S = STABLE_S + 0.3
-SERVES_ON_S = 6.0
-"""How long a worker that leaves goes on; it may be many seconds."""
+DOWN_S = 1.0
 CLIENTS = 24
+JUDGED_S = 6.0
+"""How long after `recover_s` requests are counted."""
 
 
-async def traffic(instances, record, until):
-    async def one(number):
-        instance = instances[number % len(instances)]
-        client = servers.Client(instance.host, instance.front, record)
+class Traffic:
+    """Clients that note when they sent what and how it was answered."""
+
+    def __init__(self, instances, record):
+        self._instances, self._record = instances, record
+        self.ends: list[tuple[float, int]] = []
+        self.until = float("inf")
+
+    async def run(self) -> None:
+        await asyncio.gather(*(self._client(each) for each in range(CLIENTS)))
+
+    async def _client(self, number) -> None:
         await asyncio.sleep(number * 0.03)
-        while now() < until:
-            if number % 3:
-                await client.send("POST", "/pule252/2f", {"Deadline-Ms": "600"})
-            else:
-                await client.send("GET", "/puxa403/2f", {"Deadline-Ms": "600"})
+        client = None
+        while now() < self.until:
+            if client is None:
+                number += 1
+                instance = self._instances[number % len(self._instances)]
+                client = servers.Client(
+                    instance.host, instance.front, self._record
+                )
+            sent_at = now()
+            method, target = (
+                ("POST", "/pule252/2f") if number % 3 else ("GET", "/puxa403/2f")
+            )
+            async with asyncio.timeout(5.0):
+                _, status, _ = await client.send(
+                    method, target, {"Deadline-Ms": "600"}
+                )
+            self.ends.append((sent_at, status))
+            if status != 200:
+                client.close()
+                client = None
             await asyncio.sleep(0.6)
-        client.close()
 
-    await asyncio.gather(*(one(number) for number in range(CLIENTS)))
+    def served(self, since, until) -> tuple[int, int]:
+        """Returns how many requests of a time were served, and how many sent."""
+        found = [s for at, s in self.ends if since <= at < until]
+        return sum(s == 200 for s in found), len(found)
 
 
 async def play(folder, record) -> int:
@@ -68,6 +91,7 @@
         Instance(number, zone, f"127.0.0.1:{store.port}", folder, record)
         for number, zone in enumerate(ZONES, 1)
     ]
+    traffic = Traffic(instances, record)
     try:
         for each in workers:
             await each.start()
@@ -75,8 +99,8 @@
             await each.start()
         for each in instances:
             await each.until_ready()
-        await asyncio.sleep(3.0)
-        return await leave(store, workers, instances, record)
+        await asyncio.sleep(2.0)
+        return await restart(store, workers, instances, traffic, record)
     finally:
         for each in workers:
             each.end()
@@ -85,49 +109,36 @@
         store.close()
 
 
-async def leave(store, workers, instances, record) -> int:
-    leaver = workers[0]
-    flow = asyncio.ensure_future(traffic(instances, record, now() + 14.0))
-    await asyncio.sleep(2.0)
+async def restart(store, workers, instances, traffic, record) -> int:
+    flow = asyncio.ensure_future(traffic.run())
+    await asyncio.sleep(3.0)
     if TROUBLE:
-        target = f"/sycamoreseam/objects/servers/{leaver.id}"
-        left = [LATE_S]
-
-        def late(request):
-            is_beat = request.method == "PUT" and request.path == target
-            return left.pop() if is_beat and left else None
-
-        store.late.append(late)
-        while left:
-            await asyncio.sleep(0.01)
-    await asyncio.sleep(DRAINS_AFTER_S)
-    acknowledged_at = await leaver.drain()
-    record("check", draining_acknowledged=f"{acknowledged_at:.3f}")
-    await asyncio.sleep(SERVES_ON_S)
-    leaver.end()
+        # An entry that was only half written.
+        text = json.dumps(workers[0].spec()).encode()
+        store.put_bytes("servers", "i-other", text[: len(text) // 2])
+        record("check", unreadable=text[: len(text) // 2])
+    await asyncio.sleep(3.0)
+    killed_at = now()
+    before = traffic.served(0.0, killed_at)
+    for each in instances:
+        each.signal(signal.SIGKILL)
+    await asyncio.sleep(DOWN_S)
+    for each in instances:
+        await each.end()
+        await each.start()
+    back_at = now()
+    since = back_at + BOUNDS["recover_s"]
+    traffic.until = since + JUDGED_S
     await flow
-    late_arrivals = [
-        (at, request)
-        for at, request in leaver.arrivals
-        if at > acknowledged_at + DRAIN_S
-    ]
-    for at, request in late_arrivals:
-        record(
-            "broken",
-            request=request,
-            reached=leaver.id,
-            after_acknowledgement_s=f"{at - acknowledged_at:.3f}",
-        )
-    elsewhere = sum(len(each.ran) for each in workers[1:])
-    record(
-        "check",
-        ran_elsewhere=elsewhere,
-        ran_at_leaver=len(leaver.ran),
-        reached_too_late=len(late_arrivals),
-    )
-    if elsewhere < 100 or not leaver.ran:
+    after = traffic.served(since, since + JUDGED_S)
+    ready = [await each.is_ready() for each in instances]
+    record("check", served_before=before, served_after=after, ready=ready)
+    if before[0] * 4 < before[1] or after[1] < 30:
         return 2
-    return 1 if late_arrivals else 0
+    is_broken = after[0] * 4 < after[1]
+    if is_broken:
+        record("broken", served=after[0], of=after[1])
+    return 1 if is_broken else 0
 
 
 def main() -> int:
--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,4 +1,4 @@
-"""Open connections to the store go silent as a worker leaves."""
+"""A worker's old announcement reaches the store after its newer ones."""
 
 import asyncio
 import os
@@ -8,7 +8,6 @@
 
 from platform_standin import BOUNDS
 from platform_standin import Instance
-from platform_standin import Proxy
 from platform_standin import Record
 from platform_standin import Store
 from platform_standin import now
@@ -19,7 +18,10 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 STABLE_S = BOUNDS["stable_window_ms"] / 1000
-SERVES_ON_S = 7.0
+LATE_S = 5.8
+"""How long after it was sent the old announcement is done (at most 6 s)."""
+DRAINS_AFTER_S = STABLE_S + 0.3
+SERVES_ON_S = 6.0
 """How long a worker that leaves goes on; it may be many seconds."""
 CLIENTS = 24
 
@@ -62,14 +64,9 @@
         servers.Worker(ledger, zone, store.port, record)
         for zone in (*ZONES, "bohol-a")
     ]
-    proxies = [Proxy(store.port) for _ in ZONES]
-    for each in proxies:
-        await each.start()
     instances = [
-        Instance(number, zone, f"127.0.0.1:{proxy.port}", folder, record)
-        for number, (zone, proxy) in enumerate(
-            zip(ZONES, proxies, strict=True), 1
-        )
+        Instance(number, zone, f"127.0.0.1:{store.port}", folder, record)
+        for number, zone in enumerate(ZONES, 1)
     ]
     try:
         for each in workers:
@@ -78,82 +75,59 @@
             await each.start()
         for each in instances:
             await each.until_ready()
-        await asyncio.sleep(4.0)
-        return await leave(store, proxies, workers, instances, record)
+        await asyncio.sleep(3.0)
+        return await leave(store, workers, instances, record)
     finally:
         for each in workers:
             each.end()
         for each in instances:
             await each.end()
-        for each in proxies:
-            each.close()
         store.close()
 
 
-async def watch_begins(proxies, record) -> int:
-    """Waits until an instance that nobody follows begins to watch workers.
-
-    Its watch waits for 2 s, that of one that others follow for 0.5 s. Returns
-    the number of that instance.
-    """
-    begun = asyncio.get_running_loop().create_future()
-
-    def observer(number):
-        def on_data(data):
-            is_watch = b"/servers?watch=" in data and b"wait_ms=2000" in data
-            if is_watch and not begun.done():
-                begun.set_result(number)
-
-        return on_data
-
-    for number, each in enumerate(proxies):
-        each.on_data = observer(number)
-    async with asyncio.timeout(6.0):
-        found = await begun
-    record("check", instance_that_nobody_follows=found + 1)
-    await asyncio.sleep(0.1)
-    return found
-
-
-async def leave(store, proxies, workers, instances, record) -> int:
-    flow = asyncio.ensure_future(traffic(instances, record, now() + 12.0))
+async def leave(store, workers, instances, record) -> int:
+    leaver = workers[0]
+    flow = asyncio.ensure_future(traffic(instances, record, now() + 14.0))
     await asyncio.sleep(2.0)
-    # The worker that leaves is the one in the zone of that instance.
-    leaver = workers[await watch_begins(proxies, record)]
-    silent_at = now()
     if TROUBLE:
-        count = sum(each.silence() for each in proxies)
-        record("check", connections_to_the_store_silent=count)
-    await asyncio.sleep(0.1)
-    # It leaves without a report: its entry is removed, and it serves on.
-    leaver.stop_beats()
-    store.remove("servers", leaver.id)
-    removed_at = now()
-    record("check", entry_removed=f"{removed_at:.3f}")
+        target = f"/sycamoreseam/objects/servers/{leaver.id}"
+        left = [LATE_S]
+
+        def late(request):
+            is_beat = request.method == "PUT" and request.path == target
+            return left.pop() if is_beat and left else None
+
+        store.late.append(late)
+        while left:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(DRAINS_AFTER_S)
+    acknowledged_at = await leaver.drain()
+    record("check", draining_acknowledged=f"{acknowledged_at:.3f}")
     await asyncio.sleep(SERVES_ON_S)
     leaver.end()
     await flow
-    # All machines are in touch again `stable_window_ms` after the silence.
-    from_s = max(removed_at + DRAIN_S, silent_at + STABLE_S)
-    late = [(at, each) for at, each in leaver.arrivals if at > from_s]
-    for at, request in late:
+    late_arrivals = [
+        (at, request)
+        for at, request in leaver.arrivals
+        if at > acknowledged_at + DRAIN_S
+    ]
+    for at, request in late_arrivals:
         record(
             "broken",
             request=request,
             reached=leaver.id,
-            after_acknowledgement_s=f"{at - removed_at:.3f}",
+            after_acknowledgement_s=f"{at - acknowledged_at:.3f}",
         )
     elsewhere = sum(len(each.ran) for each in workers[1:])
     record(
         "check",
         ran_elsewhere=elsewhere,
         ran_at_leaver=len(leaver.ran),
-        reached_too_late=len(late),
-        last=f"{max(at for at, _ in leaver.arrivals) - removed_at:.3f}",
+        reached_too_late=len(late_arrivals),
     )
-    if elsewhere < 100:
+    if elsewhere < 100 or not leaver.ran:
         return 2
-    return 1 if late else 0
+    return 1 if late_arrivals else 0
 
 
 def main() -> int:
