--- a/review/14/run.py
+++ b/review/14/run.py
@@ -23,7 +23,7 @@
 DRAINS_AFTER_S = STABLE_S + 0.3
 SERVES_ON_S = 6.0
 """How long a worker that leaves goes on; it may be many seconds."""
-CLIENTS = 24
+CLIENTS = 40
 
 
 async def traffic(instances, record, until):
